--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,10 @@
+import * as config from 'vitest/config';
+
+export default config.defineConfig({
+  test: {
+    include: ['packages/*/test/**/*.test.ts'],
+    testTimeout: 60_000,
+    hookTimeout: 60_000,
+    pool: 'forks',
+  },
+});
