Build one path from end to end in the shape of the design

Cause: every later part grows on the core types and one running path. Change: core package with task, timer, random source, message unions of all tasks, and thin tasks; entry process over HTTP and undici; stand-ins for platform and upstream; sealed TOML document; style page, glossary, developers' page. Conclusion: the parts can now be built side by side behind fixed messages.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,24 +1,12 @@
+import * as fs from 'node:fs';
 import * as airbnb from 'eslint-config-airbnb-extended';
 import * as tseslint from 'typescript-eslint';
 
 const TIMER_MESSAGE = 'Subscribe to the timer service instead.';
 
-// Verbs that may begin a function or method name; docs/style.md lists them with their meaning.
-const VERBS = [
-  'accept', 'acquire', 'add', 'admit', 'advance', 'answer', 'append', 'apply', 'arm', 'ask', 'assert', 'assign', 'await',
-  'begin', 'bind', 'build', 'cancel', 'check', 'choose', 'clear', 'clone', 'close', 'collect', 'compare', 'complete', 'compute',
-  'connect', 'consume', 'convert', 'copy', 'count', 'create', 'cut', 'decide', 'decode', 'define', 'deliver', 'describe', 'digest', 'discard',
-  'dispatch', 'drain', 'draw', 'drop', 'eject', 'emit', 'encode', 'end', 'enqueue', 'estimate', 'evaluate', 'exclude', 'exit',
-  'expect', 'expire', 'export', 'fail', 'fetch', 'fill', 'filter', 'find', 'finish', 'fire', 'flush', 'follow', 'format', 'forward', 'freeze', 'from',
-  'generate', 'get', 'handle', 'has', 'hash', 'hedge', 'import', 'include', 'increment', 'inject', 'insert', 'is', 'issue',
-  'join', 'keep', 'kill', 'limit', 'list', 'listen', 'load', 'log', 'make', 'map', 'mark', 'match', 'measure', 'merge', 'move',
-  'needs', 'notify', 'observe', 'offer', 'open', 'order', 'parse', 'pause', 'peek', 'pick', 'plan', 'poll', 'pop', 'post', 'print', 'probe', 'project',
-  'prune', 'publish', 'push', 'rank', 'read', 'receive', 'record', 'recover', 'refill', 'refuse', 'register', 'reinstate', 'reject', 'relay', 'release',
-  'remove', 'render', 'replay', 'reply', 'report', 'request', 'require', 'reset', 'resolve', 'respond', 'restart', 'resume', 'retry', 'return',
-  'rotate', 'route', 'run', 'sample', 'scale', 'schedule', 'score', 'seal', 'select', 'send', 'serve', 'set', 'settle', 'shed', 'should', 'show', 'shuffle', 'shutdown',
-  'sign', 'simulate', 'sort', 'split', 'spread', 'start', 'steer', 'stop', 'stream', 'subscribe', 'sum', 'suspect', 'sweep', 'switch', 'take', 'test', 'thaw', 'to', 'touch',
-  'track', 'trim', 'truncate', 'try', 'unsubscribe', 'update', 'use', 'validate', 'verify', 'visit', 'wait', 'watch', 'weigh', 'with', 'write', 'can', 'as', 'main',
-];
+// The verbs stand in the style page, so that the page and the linter cannot differ.
+const VERB_SECTION = fs.readFileSync(new URL('docs/style.md', import.meta.url), 'utf8').split('## Verbs')[1].split('## ')[0];
+const VERBS = [...VERB_SECTION.matchAll(/`([a-z]+)`/g)].map((match) => match[1]);
 const VERB_NAME = `^(?:${VERBS.join('|')})(?:[A-Z0-9]\\w*)?$`;
 
 export default tseslint.config(
@@ -51,6 +39,8 @@
       '@stylistic/max-len': ['error', {
         code: 140, ignoreUrls: true, ignoreStrings: true, ignoreTemplateLiterals: true, ignoreRegExpLiterals: true,
       }],
+      // A comment on the first member of a union stands between the equals sign and the member.
+      '@stylistic/operator-linebreak': ['error', 'before', { overrides: { '=': 'ignore' } }],
       'no-restricted-syntax': [
         'error',
         { selector: 'TSEnumDeclaration', message: 'Use a string union.' },
@@ -69,5 +59,6 @@
     },
   },
   { files: ['packages/core/src/time/**', 'packages/entry/src/time/**'], rules: { 'no-restricted-globals': 'off' } },
+  { files: ['.ci/*.js'], languageOptions: { globals: { process: 'readonly' } } },
   { files: ['vitest.config.ts', 'eslint.config.js'], rules: { 'no-restricted-syntax': 'off' } },
 );
--- /dev/null
+++ b/packages/core/src/contracts/DocumentFailure.ts
@@ -0,0 +1,7 @@
+/** Reason why a configuration document is not accepted. */
+export type DocumentFailure = | { readonly type: 'syntax'; readonly line: number; readonly detail: string }
+  | { readonly type: 'field'; readonly field: string; readonly line: number; readonly found: string; readonly expected: string }
+  | { readonly type: 'seal-missing' }
+  | { readonly type: 'seal-invalid' }
+  | { readonly type: 'other-deployment'; readonly found: string; readonly expected: string }
+  | { readonly type: 'older-version'; readonly found: number; readonly accepted: number };
--- /dev/null
+++ b/packages/core/src/contracts/Outcome.ts
@@ -0,0 +1,40 @@
+/** Reason why a request is known not to have run. */
+export type NotRunReason = | 'no-configuration'
+  | 'stopping'
+  | 'unknown-service'
+  | 'unknown-kind'
+  | 'unknown-member'
+  | 'operation-id-required'
+  | 'operation-id-invalid'
+  | 'operation-id-reused'
+  | 'overloaded'
+  | 'no-instance'
+  | 'deadline-exceeded'
+  | 'cancelled'
+  | 'refused-by-upstream';
+
+/** Reason why it is not known whether a request ran. */
+export type UnknownReason = | 'upstream-silent'
+  | 'upstream-reset'
+  | 'answer-incomplete'
+  | 'answer-mismatched'
+  | 'answer-not-kept'
+  | 'operation-epoch-closed'
+  | 'home-gone'
+  | 'home-unreachable'
+  | 'ledger-full'
+  | 'no-configuration'
+  | 'cancelled'
+  | 'deadline-exceeded';
+
+/** Answer of an upstream, complete and checked. */
+export interface UpstreamAnswer {
+  readonly status: number;
+  readonly headers: readonly (readonly [string, string])[];
+  readonly body: Uint8Array;
+}
+
+/** What a caller is told about its request. */
+export type Outcome = | { readonly type: 'answered'; readonly answer: UpstreamAnswer }
+  | { readonly type: 'not-run'; readonly reason: NotRunReason; readonly retryAfterMs: number; readonly operationPrefix?: string }
+  | { readonly type: 'unknown'; readonly reason: UnknownReason };
--- /dev/null
+++ b/packages/core/src/contracts/index.ts
@@ -0,0 +1,16 @@
+export type * from './ConfigurationMessage.js';
+export * from './ConfigurationTask.js';
+export type * from './DeploymentDocument.js';
+export * from './DocumentCodec.js';
+export type * from './DocumentFailure.js';
+export * from './DocumentKeys.js';
+export type * from './DocumentReference.js';
+export * from './DocumentSchema.js';
+export * from './DocumentSeal.js';
+export type * from './LedgerMessage.js';
+export * from './LedgerTask.js';
+export type * from './MemberContract.js';
+export type * from './Outcome.js';
+export type * from './RequestKind.js';
+export type * from './ServiceContract.js';
+export * from './TomlDocumentCodec.js';
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,1 +1,9 @@
-export {};
+export * as callers from './callers/index.js';
+export * as contracts from './contracts/index.js';
+export * as links from './links/index.js';
+export * as places from './places/index.js';
+export * as randomness from './randomness/index.js';
+export * as tasks from './tasks/index.js';
+export * as time from './time/index.js';
+export * as upstreams from './upstreams/index.js';
+export * as vms from './vms/index.js';
--- /dev/null
+++ b/packages/core/src/links/LocalHealthMessage.ts
@@ -0,0 +1,4 @@
+/** Message to the `LocalHealthTask`. */
+export interface LocalHealthMessage {
+  readonly type: 'tick';
+}
--- /dev/null
+++ b/packages/core/src/links/index.ts
@@ -0,0 +1,2 @@
+export type * from './LocalHealthMessage.js';
+export * from './LocalHealthTask.js';
--- /dev/null
+++ b/packages/core/src/places/index.ts
@@ -0,0 +1,1 @@
+export type * from './Place.js';
--- /dev/null
+++ b/packages/core/src/randomness/index.ts
@@ -0,0 +1,2 @@
+export * from './RandomSource.js';
+export * from './SeededRandomSource.js';
--- /dev/null
+++ b/packages/core/src/tasks/index.ts
@@ -0,0 +1,3 @@
+export type * from './Mailbox.js';
+export * from './Task.js';
+export * from './TaskScheduler.js';
--- /dev/null
+++ b/packages/core/src/time/index.ts
@@ -0,0 +1,4 @@
+export type * from './TimerOptions.js';
+export * from './TimerService.js';
+export type * from './TimerSubscription.js';
+export * from './VirtualTimerService.js';
--- /dev/null
+++ b/packages/core/src/upstreams/UpstreamDirectoryMessage.ts
@@ -0,0 +1,21 @@
+import type * as contracts from '../contracts/index.js';
+import type * as tasks from '../tasks/index.js';
+import type * as vms from '../vms/index.js';
+import type * as drainNotice from './DrainNotice.js';
+import type * as ejectionNotice from './EjectionNotice.js';
+import type * as upstreamMessage from './UpstreamMessage.js';
+
+/** Message to the `UpstreamDirectoryTask`, which passes it to the `UpstreamTask` of each service concerned. */
+export type UpstreamDirectoryMessage = | contracts.DocumentAccepted
+  | { readonly type: 'to-service'; readonly service: string; readonly message: upstreamMessage.UpstreamMessage }
+  | { readonly type: 'list'; readonly entries: readonly vms.UpstreamListEntry[] }
+  | { readonly type: 'drain'; readonly notices: readonly drainNotice.DrainNotice[] }
+  | { readonly type: 'peer-ejections'; readonly from: string; readonly notices: readonly ejectionNotice.EjectionNotice[] }
+  | { readonly type: 'local-health'; readonly health: 'good' | 'late' }
+  | { readonly type: 'status-requested'; readonly replyTo: tasks.Mailbox<UpstreamDirectoryStatus> };
+
+/** State of all services for the status page. */
+export interface UpstreamDirectoryStatus {
+  readonly type: 'upstream-directory-status';
+  readonly upstreams: readonly upstreamMessage.UpstreamStatus[];
+}
--- /dev/null
+++ b/packages/core/src/upstreams/index.ts
@@ -0,0 +1,11 @@
+export type * from './AttemptResult.js';
+export type * from './DrainNotice.js';
+export type * from './EjectionNotice.js';
+export type * from './EvidenceRow.js';
+export type * from './InstanceAddress.js';
+export type * from './Observation.js';
+export type * from './ProbeResult.js';
+export type * from './UpstreamDirectoryMessage.js';
+export * from './UpstreamDirectoryTask.js';
+export type * from './UpstreamMessage.js';
+export * from './UpstreamTask.js';
--- /dev/null
+++ b/packages/core/src/vms/VmOutput.ts
@@ -0,0 +1,48 @@
+import type * as callers from '../callers/index.js';
+import type * as contracts from '../contracts/index.js';
+import type * as upstreams from '../upstreams/index.js';
+import type * as peerMessage from './PeerMessage.js';
+import type * as vmIdentity from './VmIdentity.js';
+import type * as vmStatus from './VmStatus.js';
+
+/** Answer to an address query. */
+export type AddressAnswer = | {
+  readonly type: 'addresses';
+  readonly service: string;
+  readonly addresses: readonly { readonly vm: string; readonly host: string; readonly port: number; readonly place: string }[];
+  /** Time for which the caller may keep the answer, in milliseconds. */
+  readonly validForMs: number;
+  /** Prefix for operation ids, missing while this VM issues none. */
+  readonly operationPrefix: string | undefined;
+}
+  | { readonly type: 'unknown-service'; readonly service: string }
+  | { readonly type: 'not-ready' };
+
+/** Message from the decisions of a VM to its surroundings. */
+export type VmOutput = | { readonly type: 'caller-answer'; readonly requestId: string; readonly outcome: contracts.Outcome }
+  | { readonly type: 'address-answer'; readonly queryId: string; readonly answer: AddressAnswer }
+  | { readonly type: 'status-answer'; readonly queryId: string; readonly status: vmStatus.VmStatus }
+  | { readonly type: 'evidence-answer'; readonly queryId: string; readonly report: callers.MemberReport | undefined }
+  | {
+    readonly type: 'send-attempt';
+    readonly attemptId: string;
+    /** Request that the attempt belongs to; a large answer is streamed to its caller. */
+    readonly requestId: string;
+    readonly instance: upstreams.InstanceAddress;
+    readonly contract: contracts.ServiceContract;
+    readonly request: callers.CallerRequest;
+    /** Time that is left for the attempt, in milliseconds. */
+    readonly timeoutMs: number;
+  }
+  | { readonly type: 'cancel-attempt'; readonly attemptId: string }
+  | { readonly type: 'stream-attempt'; readonly attemptId: string }
+  | { readonly type: 'send-probe'; readonly instance: upstreams.InstanceAddress; readonly timeoutMs: number }
+  | { readonly type: 'send-peer'; readonly to: vmIdentity.VmIdentity; readonly envelope: peerMessage.PeerEnvelope }
+  /** Whether this VM holds a watch on the platform or polls it. */
+  | { readonly type: 'platform-mode'; readonly mode: 'watch' | 'poll' }
+  /** A document was accepted. */
+  | { readonly type: 'document-accepted'; readonly reference: contracts.DocumentReference }
+  | { readonly type: 'evidence-flush'; readonly flush: callers.EvidenceFlush }
+  | { readonly type: 'log'; readonly prefix: string; readonly level: 'info' | 'warn'; readonly text: string }
+  /** The address validity has expired and all requests have ended; the process may exit. */
+  | { readonly type: 'stopped' };
--- /dev/null
+++ b/packages/core/src/vms/index.ts
@@ -0,0 +1,13 @@
+export type * from './LifecycleMessage.js';
+export * from './LifecycleTask.js';
+export type * from './ListEntry.js';
+export * from './PeerMessage.js';
+export * from './PeerTask.js';
+export type * from './PeerTaskMessage.js';
+export * from './StatusTask.js';
+export * from './Vm.js';
+export type * from './VmContext.js';
+export type * from './VmIdentity.js';
+export type * from './VmInput.js';
+export type * from './VmOutput.js';
+export type * from './VmStatus.js';
--- /dev/null
+++ b/packages/entry/src/callers/index.ts
@@ -0,0 +1,2 @@
+export * from './CallerListener.js';
+export type * from './ListenerMessage.js';
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,1 +1,5 @@
-export {};
+export * as callers from './callers/index.js';
+export * as platform from './platform/index.js';
+export * as time from './time/index.js';
+export * as upstreams from './upstreams/index.js';
+export * as vms from './vms/index.js';
--- /dev/null
+++ b/packages/entry/src/platform/index.ts
@@ -0,0 +1,1 @@
+export * from './PlatformWatcher.js';
--- /dev/null
+++ b/packages/entry/src/time/index.ts
@@ -0,0 +1,1 @@
+export * from './SystemTimerService.js';
--- /dev/null
+++ b/packages/entry/src/upstreams/index.ts
@@ -0,0 +1,2 @@
+export type * from './ConnectionMessage.js';
+export * from './UpstreamConnections.js';
--- /dev/null
+++ b/packages/entry/src/vms/index.ts
@@ -0,0 +1,2 @@
+export * from './EntryProcess.js';
+export type * from './EntrySettings.js';
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * as platform from './platform/index.js';
+export * as upstreams from './upstreams/index.js';
--- /dev/null
+++ b/packages/standins/src/platform/index.ts
@@ -0,0 +1,1 @@
+export * from './PlatformStandin.js';
--- /dev/null
+++ b/packages/standins/src/upstreams/index.ts
@@ -0,0 +1,1 @@
+export * from './UpstreamStandin.js';
