Read the verb list of the linter from the style page

Cause: the URL global is not declared for the lint configuration, so linting failed. Change: the path is built from import.meta.dirname. Conclusion: page and linter share one list.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -5,7 +5,7 @@
 const TIMER_MESSAGE = 'Subscribe to the timer service instead.';
 
 // The verbs stand in the style page, so that the page and the linter cannot differ.
-const VERB_SECTION = fs.readFileSync(new URL('docs/style.md', import.meta.url), 'utf8').split('## Verbs')[1].split('## ')[0];
+const VERB_SECTION = fs.readFileSync(`${import.meta.dirname}/docs/style.md`, 'utf8').split('## Verbs')[1].split('## ')[0];
 const VERBS = [...VERB_SECTION.matchAll(/`([a-z]+)`/g)].map((match) => match[1]);
 const VERB_NAME = `^(?:${VERBS.join('|')})(?:[A-Z0-9]\\w*)?$`;
 
