Give each VM a replaceable set of rules

Cause: every promise needs a test that plants a fault in its rule, without a copy of the task. Change: VmRules with one factory class per folder; Vm takes replacements by its options. Conclusion: tests can replace single rules by faulty subclasses.

--- a/packages/core/src/contracts/index.ts
+++ b/packages/core/src/contracts/index.ts
@@ -1,5 +1,6 @@
 export type * from './ConfigurationMessage.js';
 export * from './ConfigurationTask.js';
+export * from './ContractRules.js';
 export type * from './DeploymentDocument.js';
 export * from './DocumentCodec.js';
 export type * from './DocumentFailure.js';
--- a/packages/core/src/upstreams/index.ts
+++ b/packages/core/src/upstreams/index.ts
@@ -8,4 +8,5 @@
 export type * from './UpstreamDirectoryMessage.js';
 export * from './UpstreamDirectoryTask.js';
 export type * from './UpstreamMessage.js';
+export * from './UpstreamRules.js';
 export * from './UpstreamTask.js';
--- a/packages/core/src/vms/Vm.ts
+++ b/packages/core/src/vms/Vm.ts
@@ -13,6 +13,7 @@
 import type * as vmIdentity from './VmIdentity.js';
 import type * as vmInput from './VmInput.js';
 import type * as vmOutput from './VmOutput.js';
+import type * as vmRules from './VmRules.js';
 
 const DEFAULT_ADDRESS_VALIDITY_MS = 10_000;
 
@@ -30,6 +31,8 @@
   readonly seedPeers?: readonly listEntry.EntryVmListEntry[];
   /** Time for which callers may keep an address answer, in milliseconds; 10,000 if not given. */
   readonly addressValidityMs?: number;
+  /** Rules that replace the default ones. */
+  readonly rules?: Partial<vmRules.VmRules>;
 }
 
 /** Decisions of one VM. Free of sockets, clocks and module state, so that many can run in one program. */
@@ -55,6 +58,12 @@
       codec: options.codec,
       outbox: options.outbox,
       mailboxes,
+      rules: {
+        callers: new callers.CallerRules(),
+        contracts: new contracts.ContractRules(),
+        upstreams: new upstreams.UpstreamRules(),
+        ...options.rules,
+      },
       seedPeers: options.seedPeers ?? [],
       addressValidityMs: options.addressValidityMs ?? DEFAULT_ADDRESS_VALIDITY_MS,
     };
--- a/packages/core/src/vms/VmContext.ts
+++ b/packages/core/src/vms/VmContext.ts
@@ -9,6 +9,7 @@
 import type * as peerTaskMessage from './PeerTaskMessage.js';
 import type * as vmIdentity from './VmIdentity.js';
 import type * as vmOutput from './VmOutput.js';
+import type * as vmRules from './VmRules.js';
 
 /** Mailboxes by which the tasks of one VM reach each other. */
 export interface VmMailboxes {
@@ -33,6 +34,7 @@
   readonly codec: contracts.DocumentCodec;
   readonly outbox: tasks.Mailbox<vmOutput.VmOutput>;
   readonly mailboxes: VmMailboxes;
+  readonly rules: vmRules.VmRules;
   /** Peers from the settings, for a start while the platform is down. */
   readonly seedPeers: readonly listEntry.EntryVmListEntry[];
   /** Time for which callers may keep an address answer, in milliseconds. */
--- a/packages/core/src/vms/index.ts
+++ b/packages/core/src/vms/index.ts
@@ -10,4 +10,5 @@
 export type * from './VmIdentity.js';
 export type * from './VmInput.js';
 export type * from './VmOutput.js';
+export type * from './VmRules.js';
 export type * from './VmStatus.js';
