Share one reader of checked TOML between documents and settings

Cause: documents and settings need the same report of field, line, found and expected. Conclusion: the console and the settings can use the same reader.

--- a/packages/core/src/contracts/TomlDocumentCodec.ts
+++ b/packages/core/src/contracts/TomlDocumentCodec.ts
@@ -7,16 +7,11 @@
 import type * as documentFailure from './DocumentFailure.js';
 import * as documentSchema from './DocumentSchema.js';
 import * as documentSeal from './DocumentSeal.js';
+import * as tomlReader from './TomlReader.js';
 
 type DecodeResult<Value> = neverthrow.Result<Value, documentFailure.DocumentFailure>;
 
-function parseToml(text: string): DecodeResult<unknown> {
-  return neverthrow.fromThrowable(smolToml.parse, (error): documentFailure.DocumentFailure => ({
-    type: 'syntax',
-    line: error instanceof smolToml.TomlError ? error.line : 0,
-    detail: error instanceof smolToml.TomlError ? error.message.split('\n')[0] ?? '' : 'not readable as TOML',
-  }))(text);
-}
+const READER = new tomlReader.TomlReader(documentSchema.DOCUMENT_SCHEMA);
 
 /** Reads and writes configuration documents as sealed TOML. */
 export class TomlDocumentCodec extends documentCodec.DocumentCodec {
@@ -30,7 +25,7 @@
       ? neverthrow.ok(text)
       : documentSeal.DocumentSeal.verifyText(text, this.publicKey);
     return unsealed
-      .andThen((body) => parseToml(body).andThen((value) => TomlDocumentCodec.checkFields(value, body)))
+      .andThen((body) => READER.read(body))
       .map((fields) => TomlDocumentCodec.buildDocument(fields, text));
   }
 
@@ -39,41 +34,7 @@
    * @param fields - Checked fields.
    */
   static encode(fields: documentSchema.DocumentFields): string {
-    return `${smolToml.stringify(fields)}`;
-  }
-
-  /**
-   * Checks parsed fields against the schema.
-   * @param value - Parsed TOML.
-   * @param text - Text that it was parsed from, to name the line of a wrong field.
-   */
-  static checkFields(value: unknown, text: string): DecodeResult<documentSchema.DocumentFields> {
-    const parsed = documentSchema.DOCUMENT_SCHEMA.safeParse(value);
-    if (parsed.success) return neverthrow.ok(parsed.data);
-    const issue = parsed.error.issues[0];
-    const path = issue?.path ?? [];
-    const found = path.reduce<unknown>((part, key) => (part as Record<PropertyKey, unknown> | undefined)?.[key], value);
-    return neverthrow.err({
-      type: 'field',
-      field: path.join('.'),
-      line: TomlDocumentCodec.findLine(text, path),
-      found: JSON.stringify(found) ?? 'nothing',
-      expected: issue?.message ?? 'a valid value',
-    });
-  }
-
-  private static findLine(text: string, path: readonly PropertyKey[]): number {
-    // Tables of an array stand in order, so the n-th header of the table leads to the field.
-    const lines = text.split('\n');
-    const start = path.reduce<number>((from, key, position) => {
-      if (typeof key !== 'number') return from;
-      const table = path.slice(0, position).filter((part) => typeof part === 'string').join('.');
-      const headers = lines.flatMap((line, index) => (index >= from && line.trim() === `[[${table}]]` ? [index] : []));
-      return headers[key] ?? from;
-    }, 0);
-    const last = path.findLast((part) => typeof part === 'string');
-    const offset = lines.slice(start).findIndex((line) => line.trim().startsWith(`${String(last)} `));
-    return offset < 0 ? start + 1 : start + offset + 1;
+    return smolToml.stringify(fields);
   }
 
   private static buildDocument(fields: documentSchema.DocumentFields, text: string): deploymentDocument.DeploymentDocument {
--- /dev/null
+++ b/packages/core/src/contracts/TomlReader.ts
@@ -0,0 +1,76 @@
+import * as neverthrow from 'neverthrow';
+import * as smolToml from 'smol-toml';
+import type * as zod from 'zod';
+
+/** Reason why a TOML text cannot be used. */
+export type TomlFailure =
+  | { readonly type: 'syntax'; readonly line: number; readonly detail: string }
+  | { readonly type: 'field'; readonly field: string; readonly line: number; readonly found: string; readonly expected: string };
+
+function parseText(text: string): neverthrow.Result<unknown, TomlFailure> {
+  return neverthrow.fromThrowable(smolToml.parse, (error): TomlFailure => ({
+    type: 'syntax',
+    line: error instanceof smolToml.TomlError ? error.line : 0,
+    detail: error instanceof smolToml.TomlError ? error.message.split('\n')[0] ?? '' : 'not readable as TOML',
+  }))(text);
+}
+
+// Tables of an array stand in order, so the n-th header of a table leads to its fields.
+function findLine(text: string, path: readonly PropertyKey[]): number {
+  const lines = text.split('\n').map((line) => line.trim());
+  const start = path.reduce<number>((from, key, position) => {
+    const table = path.slice(0, position + 1).filter((part) => typeof part === 'string').join('.');
+    const header = typeof key === 'number' ? `[[${table}]]` : `[${table}]`;
+    const headers = lines.flatMap((line, index) => (index >= from && line === header ? [index] : []));
+    return headers[typeof key === 'number' ? key : 0] ?? from;
+  }, 0);
+  const name = path.findLast((part) => typeof part === 'string');
+  const offset = lines.slice(start).findIndex((line) => line.startsWith(`${String(name)} `) || line.startsWith(`${String(name)}=`));
+  return offset < 0 ? start + 1 : start + offset + 1;
+}
+
+/** Reads TOML texts that follow a schema, and names the field and line of the first fault. */
+export class TomlReader<Fields> {
+  /** @param schema - Schema of the fields. */
+  constructor(private readonly schema: zod.ZodType<Fields>) {}
+
+  /**
+   * Parses a text and checks its fields.
+   * @param text - TOML text.
+   */
+  read(text: string): neverthrow.Result<Fields, TomlFailure> {
+    return parseText(text).andThen((value) => this.check(value, text));
+  }
+
+  /**
+   * Checks fields that were parsed before.
+   * @param value - Parsed fields.
+   * @param text - Text that they were parsed from, to name the line of a wrong field.
+   */
+  check(value: unknown, text: string): neverthrow.Result<Fields, TomlFailure> {
+    const parsed = this.schema.safeParse(value);
+    if (parsed.success) return neverthrow.ok(parsed.data);
+    const issue = parsed.error.issues[0];
+    // An unknown key is named by the issue, not by its path.
+    const unknownKeys = issue?.code === 'unrecognized_keys' ? issue.keys.slice(0, 1) : [];
+    const path = [...issue?.path ?? [], ...unknownKeys];
+    const found = path.reduce<unknown>((part, key) => (part as Record<PropertyKey, unknown> | undefined)?.[key], value);
+    return neverthrow.err({
+      type: 'field',
+      field: path.map(String).join('.'),
+      line: findLine(text, path),
+      found: JSON.stringify(found) ?? 'nothing',
+      expected: unknownKeys.length > 0 ? 'a known field' : issue?.message ?? 'a valid value',
+    });
+  }
+
+  /**
+   * Describes a failure in one line.
+   * @param failure - Failure of `read`.
+   */
+  static describeFailure(failure: TomlFailure): string {
+    return failure.type === 'syntax'
+      ? `line ${failure.line}: ${failure.detail}`
+      : `line ${failure.line}: field ${failure.field}: found ${failure.found}, expected ${failure.expected}`;
+  }
+}
--- a/packages/core/src/contracts/index.ts
+++ b/packages/core/src/contracts/index.ts
@@ -15,3 +15,4 @@
 export type * from './RequestKind.js';
 export type * from './ServiceContract.js';
 export * from './TomlDocumentCodec.js';
+export * from './TomlReader.js';
