--- a/packages/core/src/callers/AddressMessage.ts
+++ b/packages/core/src/callers/AddressMessage.ts
@@ -2,7 +2,8 @@
 import type * as vms from '../vms/index.js';
 
 /** Message to the `AddressTask`. */
-export type AddressMessage = | { readonly type: 'query'; readonly queryId: string; readonly service: string }
+export type AddressMessage =
+  | { readonly type: 'query'; readonly queryId: string; readonly service: string }
   | vms.ViewChanged
   | contracts.DocumentAccepted
   | contracts.LedgerReply
--- a/packages/core/src/callers/EvidenceMessage.ts
+++ b/packages/core/src/callers/EvidenceMessage.ts
@@ -37,14 +37,15 @@
 }
 
 /** Message to the `EvidenceTask`. */
-export type EvidenceMessage = | {
-  readonly type: 'request-ended';
-  readonly member: string;
-  readonly service: string;
-  readonly kind: contracts.RequestKind;
-  readonly outcome: contracts.Outcome['type'];
-  readonly latencyMs: number;
-}
+export type EvidenceMessage =
+  | {
+    readonly type: 'request-ended';
+    readonly member: string;
+    readonly service: string;
+    readonly kind: contracts.RequestKind;
+    readonly outcome: contracts.Outcome['type'];
+    readonly latencyMs: number;
+  }
   | contracts.DocumentAccepted
   | { readonly type: 'report-requested'; readonly queryId: string; readonly member: string; readonly replyTo: tasks.Mailbox<EvidenceReply> }
   | { readonly type: 'tick' };
--- a/packages/core/src/callers/RequestMessage.ts
+++ b/packages/core/src/callers/RequestMessage.ts
@@ -14,7 +14,8 @@
 }
 
 /** Message to the `RequestTask`. */
-export type RequestMessage = | { readonly type: 'caller-request'; readonly requestId: string; readonly request: callerRequest.CallerRequest }
+export type RequestMessage =
+  | { readonly type: 'caller-request'; readonly requestId: string; readonly request: callerRequest.CallerRequest }
   | { readonly type: 'caller-gone'; readonly requestId: string }
   /** A peer handed over an operation whose home this VM is. */
   | { readonly type: 'forwarded'; readonly from: string; readonly forwardId: string; readonly request: callerRequest.CallerRequest }
--- a/packages/core/src/contracts/ConfigurationMessage.ts
+++ b/packages/core/src/contracts/ConfigurationMessage.ts
@@ -4,7 +4,8 @@
 import type * as documentReference from './DocumentReference.js';
 
 /** Message to the `ConfigurationTask`. */
-export type ConfigurationMessage = | { readonly type: 'published'; readonly text: string }
+export type ConfigurationMessage =
+  | { readonly type: 'published'; readonly text: string }
   | { readonly type: 'platform-failed' }
   /** A peer named its accepted document, or none. */
   | { readonly type: 'peer-document'; readonly from: string; readonly document: documentReference.DocumentReference | undefined }
--- a/packages/core/src/contracts/DocumentFailure.ts
+++ b/packages/core/src/contracts/DocumentFailure.ts
@@ -1,8 +1,8 @@
 import type * as tomlReader from './TomlReader.js';
 
 /** Reason why a configuration document is not accepted. */
-export type DocumentFailure = | { readonly type: 'syntax'; readonly line: number; readonly detail: string }
-  | { readonly type: 'field'; readonly field: string; readonly line: number; readonly found: string; readonly expected: string }
+export type DocumentFailure =
+  | tomlReader.TomlFailure
   | { readonly type: 'seal-missing' }
   | { readonly type: 'seal-invalid' }
   | { readonly type: 'other-deployment'; readonly found: string; readonly expected: string }
--- a/packages/core/src/contracts/LedgerMessage.ts
+++ b/packages/core/src/contracts/LedgerMessage.ts
@@ -14,15 +14,16 @@
   | { readonly type: 'prefix'; readonly requestId: string; readonly prefix: string | undefined };
 
 /** Message to the `LedgerTask`. */
-export type LedgerMessage = | {
-  readonly type: 'begin';
-  readonly requestId: string;
-  readonly operationId: string;
-  readonly digest: string;
-  /** A request that a peer forwarded is not forwarded again. */
-  readonly origin: 'caller' | 'peer';
-  readonly replyTo: tasks.Mailbox<LedgerReply>;
-}
+export type LedgerMessage =
+  | {
+    readonly type: 'begin';
+    readonly requestId: string;
+    readonly operationId: string;
+    readonly digest: string;
+    /** A request that a peer forwarded is not forwarded again. */
+    readonly origin: 'caller' | 'peer';
+    readonly replyTo: tasks.Mailbox<LedgerReply>;
+  }
   /** Records the outcome of an operation that `run` allowed. A later answer may replace `unknown`. */
   | { readonly type: 'finish'; readonly operationId: string; readonly outcome: outcome.Outcome }
   /** A request that joined an operation has gone. */
--- a/packages/core/src/contracts/Outcome.ts
+++ b/packages/core/src/contracts/Outcome.ts
@@ -1,5 +1,6 @@
 /** Reason why a request is known not to have run. */
-export type NotRunReason = | 'no-configuration'
+export type NotRunReason =
+  | 'no-configuration'
   | 'stopping'
   | 'unknown-service'
   | 'unknown-kind'
@@ -14,7 +15,8 @@
   | 'refused-by-upstream';
 
 /** Reason why it is not known whether a request ran. */
-export type UnknownReason = | 'upstream-silent'
+export type UnknownReason =
+  | 'upstream-silent'
   | 'upstream-reset'
   | 'answer-incomplete'
   | 'answer-mismatched'
@@ -35,6 +37,7 @@
 }
 
 /** What a caller is told about its request. */
-export type Outcome = | { readonly type: 'answered'; readonly answer: UpstreamAnswer }
+export type Outcome =
+  | { readonly type: 'answered'; readonly answer: UpstreamAnswer }
   | { readonly type: 'not-run'; readonly reason: NotRunReason; readonly retryAfterMs: number; readonly operationPrefix?: string }
   | { readonly type: 'unknown'; readonly reason: UnknownReason };
--- a/packages/core/src/upstreams/Observation.ts
+++ b/packages/core/src/upstreams/Observation.ts
@@ -10,4 +10,5 @@
  * - `refused`: connection refused.
  * - `withdrawn`: cancelled by this side before an answer; says nothing.
  */
-export type Observation = | 'on-time' | 'late' | 'failed' | 'timed-out' | 'corrupt' | 'shed' | 'draining' | 'refused' | 'withdrawn';
+export type Observation =
+  | 'on-time' | 'late' | 'failed' | 'timed-out' | 'corrupt' | 'shed' | 'draining' | 'refused' | 'withdrawn';
--- a/packages/core/src/upstreams/UpstreamDirectoryMessage.ts
+++ b/packages/core/src/upstreams/UpstreamDirectoryMessage.ts
@@ -6,7 +6,8 @@
 import type * as upstreamMessage from './UpstreamMessage.js';
 
 /** Message to the `UpstreamDirectoryTask`, which passes it to the `UpstreamTask` of each service concerned. */
-export type UpstreamDirectoryMessage = | contracts.DocumentAccepted
+export type UpstreamDirectoryMessage =
+  | contracts.DocumentAccepted
   | { readonly type: 'to-service'; readonly service: string; readonly message: upstreamMessage.UpstreamMessage }
   | { readonly type: 'list'; readonly entries: readonly vms.UpstreamListEntry[] }
   | { readonly type: 'drain'; readonly notices: readonly drainNotice.DrainNotice[] }
--- a/packages/core/src/upstreams/UpstreamMessage.ts
+++ b/packages/core/src/upstreams/UpstreamMessage.ts
@@ -8,7 +8,8 @@
 import type * as probeResult from './ProbeResult.js';
 
 /** Answer of an `UpstreamTask` to `acquire`. */
-export type AcquireReply = | { readonly type: 'assigned'; readonly attemptId: string; readonly instance: instanceAddress.InstanceAddress; readonly hedgeAfterMs: number }
+export type AcquireReply =
+  | { readonly type: 'assigned'; readonly attemptId: string; readonly instance: instanceAddress.InstanceAddress; readonly hedgeAfterMs: number }
   /** `saturated`: all limits are used up, a `capacity-freed` follows. `none`: no instance can be used. */
   | { readonly type: 'unavailable'; readonly attemptId: string; readonly cause: 'saturated' | 'none' };
 
@@ -19,13 +20,14 @@
 }
 
 /** Message to the `UpstreamTask` of one service. */
-export type UpstreamMessage = | {
-  readonly type: 'acquire';
-  readonly attemptId: string;
-  /** Names of instances that this request must not use again. */
-  readonly excluded: readonly string[];
-  readonly replyTo: tasks.Mailbox<AcquireReply | CapacityFreed>;
-}
+export type UpstreamMessage =
+  | {
+    readonly type: 'acquire';
+    readonly attemptId: string;
+    /** Names of instances that this request must not use again. */
+    readonly excluded: readonly string[];
+    readonly replyTo: tasks.Mailbox<AcquireReply | CapacityFreed>;
+  }
   /** Ends an attempt: frees its slot and gives its evidence. */
   | {
     readonly type: 'observed';
--- a/packages/core/src/vms/PeerMessage.ts
+++ b/packages/core/src/vms/PeerMessage.ts
@@ -18,7 +18,8 @@
 }
 
 /** Message between two VMs. Any of them may be lost, late, duplicated or reordered. */
-export type PeerMessage = | PeerExchange
+export type PeerMessage =
+  | PeerExchange
   | { readonly type: 'drain'; readonly notices: readonly upstreams.DrainNotice[] }
   | { readonly type: 'leaving' }
   | { readonly type: 'document-announced'; readonly document: contracts.DocumentReference }
--- a/packages/core/src/vms/PeerTaskMessage.ts
+++ b/packages/core/src/vms/PeerTaskMessage.ts
@@ -19,7 +19,8 @@
 }
 
 /** Message to the `PeerTask`. */
-export type PeerTaskMessage = | { readonly type: 'envelope'; readonly envelope: peerMessage.PeerEnvelope }
+export type PeerTaskMessage =
+  | { readonly type: 'envelope'; readonly envelope: peerMessage.PeerEnvelope }
   | { readonly type: 'list'; readonly entries: readonly listEntry.EntryVmListEntry[] }
   /** Sends to one peer by name. Dropped if the peer is not known. */
   | { readonly type: 'send'; readonly to: string; readonly message: peerMessage.PeerMessage }
--- a/packages/core/src/vms/StatusTask.ts
+++ b/packages/core/src/vms/StatusTask.ts
@@ -7,7 +7,8 @@
 import type * as vmContext from './VmContext.js';
 
 /** Message to the `StatusTask`. */
-export type StatusMessage = | { readonly type: 'query'; readonly queryId: string }
+export type StatusMessage =
+  | { readonly type: 'query'; readonly queryId: string }
   | contracts.ConfigurationStatus
   | contracts.LedgerStatus
   | peerTaskMessage.PeerStatus
--- a/packages/core/src/vms/VmInput.ts
+++ b/packages/core/src/vms/VmInput.ts
@@ -4,7 +4,8 @@
 import type * as peerMessage from './PeerMessage.js';
 
 /** Message from the surroundings to the decisions of a VM. */
-export type VmInput = | { readonly type: 'caller-request'; readonly requestId: string; readonly request: callers.CallerRequest }
+export type VmInput =
+  | { readonly type: 'caller-request'; readonly requestId: string; readonly request: callers.CallerRequest }
   /** The caller closed its connection or cancelled. */
   | { readonly type: 'caller-gone'; readonly requestId: string }
   | { readonly type: 'address-query'; readonly queryId: string; readonly service: string }
--- a/packages/core/src/vms/VmOutput.ts
+++ b/packages/core/src/vms/VmOutput.ts
@@ -6,20 +6,22 @@
 import type * as vmStatus from './VmStatus.js';
 
 /** Answer to an address query. */
-export type AddressAnswer = | {
-  readonly type: 'addresses';
-  readonly service: string;
-  readonly addresses: readonly { readonly vm: string; readonly host: string; readonly port: number; readonly place: string }[];
-  /** Time for which the caller may keep the answer, in milliseconds. */
-  readonly validForMs: number;
-  /** Prefix for operation ids, missing while this VM issues none. */
-  readonly operationPrefix: string | undefined;
-}
+export type AddressAnswer =
+  | {
+    readonly type: 'addresses';
+    readonly service: string;
+    readonly addresses: readonly { readonly vm: string; readonly host: string; readonly port: number; readonly place: string }[];
+    /** Time for which the caller may keep the answer, in milliseconds. */
+    readonly validForMs: number;
+    /** Prefix for operation ids, missing while this VM issues none. */
+    readonly operationPrefix: string | undefined;
+  }
   | { readonly type: 'unknown-service'; readonly service: string }
   | { readonly type: 'not-ready' };
 
 /** Message from the decisions of a VM to its surroundings. */
-export type VmOutput = | { readonly type: 'caller-answer'; readonly requestId: string; readonly outcome: contracts.Outcome }
+export type VmOutput =
+  | { readonly type: 'caller-answer'; readonly requestId: string; readonly outcome: contracts.Outcome }
   | { readonly type: 'address-answer'; readonly queryId: string; readonly answer: AddressAnswer }
   | { readonly type: 'status-answer'; readonly queryId: string; readonly status: vmStatus.VmStatus }
   | { readonly type: 'evidence-answer'; readonly queryId: string; readonly report: callers.MemberReport | undefined }
