Add the operators' console and the check, keys and status commands

Cause: operators make and check documents only through the console. Change: forms for places, services, kinds and members, checked while they are filled in; review against the published version; sealing on the version read; fleet and evidence pages; commands by cac with exit codes. Ruled out: taking a failed platform read for an empty one, which would have sealed version 1 again.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -59,6 +59,14 @@
     },
   },
   { files: ['packages/core/src/time/**', 'packages/entry/src/time/**'], rules: { 'no-restricted-globals': 'off' } },
+  {
+    files: ['packages/operator/assets/*.js'],
+    languageOptions: {
+      globals: {
+        document: 'readonly', fetch: 'readonly', FormData: 'readonly', URLSearchParams: 'readonly',
+      },
+    },
+  },
   { files: ['.ci/*.js'], languageOptions: { globals: { process: 'readonly' } } },
   { files: ['vitest.config.ts', 'eslint.config.js'], rules: { 'no-restricted-syntax': 'off' } },
 );
--- a/packages/core/src/contracts/DocumentSchema.ts
+++ b/packages/core/src/contracts/DocumentSchema.ts
@@ -2,6 +2,20 @@
 
 const NAME = zod.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, 'lower-case letters, digits and hyphens, at most 63');
 
+function reportDuplicates(items: readonly { readonly key: string }[], field: string, context: zod.RefinementCtx): void {
+  items.forEach((item, index) => {
+    if (items.findIndex((other) => other.key === item.key) === index) return;
+    context.addIssue({ code: 'custom', path: [index, field], message: `a value that is used once, ${item.key} stands twice` });
+  });
+}
+
+/** List of tables whose names differ. */
+function listNamed<Item extends zod.ZodType<{ readonly name: string }>>(item: Item): zod.ZodArray<Item> {
+  return zod.array(item).min(1, 'at least one').superRefine((items, context) => {
+    reportDuplicates(items.map(({ name }) => ({ key: name })), 'name', context);
+  });
+}
+
 const KIND = zod.strictObject({
   name: NAME,
   method: zod.enum(['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE']),
@@ -11,6 +25,10 @@
   weight: zod.number().min(0),
   deadline_ms: zod.int().min(1).max(600_000),
   on_time_ms: zod.int().min(1).max(600_000),
+}).refine((kind) => kind.on_time_ms <= kind.deadline_ms, { path: ['on_time_ms'], message: 'at most the deadline of the kind' });
+
+const KINDS = listNamed(KIND).superRefine((kinds, context) => {
+  reportDuplicates(kinds.map((kind) => ({ key: `${kind.method} ${kind.path_prefix}` })), 'path_prefix', context);
 });
 
 const SERVICE = zod.strictObject({
@@ -22,7 +40,7 @@
   request_id_echo: zod.enum(['echoed', 'absent']),
   not_run_answers: zod.enum(['declared', 'absent']),
   answer_digest: zod.enum(['sent', 'absent']),
-  kinds: zod.array(KIND).min(1),
+  kinds: KINDS,
 });
 
 const PLACE = zod.strictObject({ name: NAME, region: NAME });
@@ -40,9 +58,9 @@
   deployment: NAME,
   version: zod.int().min(1),
   base_digest: zod.string().regex(/^([0-9a-f]{64})?$/, 'empty or 64 hexadecimal digits'),
-  places: zod.array(PLACE).min(1),
-  services: zod.array(SERVICE).min(1),
-  members: zod.array(MEMBER).min(1),
+  places: listNamed(PLACE),
+  services: listNamed(SERVICE),
+  members: listNamed(MEMBER),
 });
 
 /** Fields of a configuration document as they stand in its TOML text. */
--- /dev/null
+++ b/packages/operator/src/commands/index.ts
@@ -0,0 +1,5 @@
+export * from './CheckCommand.js';
+export * from './Command.js';
+export * from './ConsoleCommand.js';
+export * from './KeysCommand.js';
+export * from './StatusCommand.js';
--- /dev/null
+++ b/packages/operator/src/consoles/ConsoleServer.ts
@@ -0,0 +1,215 @@
+import type * as crypto from 'node:crypto';
+import * as fs from 'node:fs/promises';
+import * as http from 'node:http';
+import * as core from '@tamarackferry/core';
+import * as neverthrow from 'neverthrow';
+
+import * as documents from '../documents/index.js';
+import * as fleet from '../fleet/index.js';
+import * as pages from '../pages/index.js';
+
+const BODY_LIMIT_BYTES = 2 ** 20;
+
+const ASSETS = new Map([['/assets/console.css', 'text/css'], ['/assets/console.js', 'text/javascript']]);
+
+/** Options of a `ConsoleServer`. */
+export interface ConsoleServerOptions {
+  readonly deployment: string;
+  readonly host: string;
+  readonly port: number;
+  readonly platformUrl: string;
+  readonly keys: core.contracts.DocumentKeys;
+}
+
+/** Page, file or data that answers a request of the browser. */
+interface ConsoleAnswer {
+  readonly status: number;
+  readonly type: 'text/html' | 'text/css' | 'text/javascript' | 'application/json' | 'application/toml' | 'text/plain';
+  readonly body: string;
+  /** Name under which the browser saves the body. */
+  readonly fileName?: string;
+}
+
+/** Reason why a form cannot be read. */
+type FormFailure =
+  | { readonly type: 'too-large' }
+  | { readonly type: 'other-origin' };
+
+/** Owns the HTTP server of the operators' console. It reads from the platform and writes nothing there. */
+export class ConsoleServer {
+  private readonly server: http.Server;
+
+  private readonly published: documents.PublishedDocument;
+
+  private readonly fleet: fleet.FleetReader;
+
+  /** @param options - Address, platform and keys. */
+  constructor(private readonly options: ConsoleServerOptions) {
+    this.published = new documents.PublishedDocument(options.platformUrl, options.keys.publicKey);
+    this.fleet = new fleet.FleetReader(options.platformUrl);
+    this.server = http.createServer((request, response) => {
+      this.answerRequest(request).then(
+        (answer) => ConsoleServer.sendAnswer(response, answer),
+        () => ConsoleServer.sendAnswer(response, { status: 500, type: 'text/plain', body: 'The request could not be handled' }),
+      );
+    });
+  }
+
+  /** Starts listening and resolves to the port that was bound. */
+  listen(): Promise<number> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(this.options.port, this.options.host, () => {
+        const address = this.server.address();
+        resolve(typeof address === 'object' && address !== null ? address.port : this.options.port);
+      });
+    });
+  }
+
+  /** Stops listening and closes all connections. */
+  close(): Promise<void> {
+    return new Promise((resolve) => {
+      this.server.close(() => resolve());
+      this.server.closeAllConnections();
+    });
+  }
+
+  private async answerRequest(request: http.IncomingMessage): Promise<ConsoleAnswer> {
+    const { pathname } = new URL(request.url ?? '/', 'http://console');
+    const assetType = ASSETS.get(pathname);
+    if (assetType !== undefined) return ConsoleServer.readAsset(pathname, assetType as 'text/css' | 'text/javascript');
+    if (request.method === 'GET') return this.answerPage(pathname);
+    const form = await ConsoleServer.readForm(request);
+    return form.match(
+      (value) => this.answerForm(pathname, value),
+      async (failure): Promise<ConsoleAnswer> => ({ status: failure.type === 'too-large' ? 413 : 403, type: 'text/plain', body: failure.type }),
+    );
+  }
+
+  private async answerPage(pathname: string): Promise<ConsoleAnswer> {
+    if (pathname === '/') return this.openDocument('');
+    if (pathname === '/fleet') {
+      const readings = await this.fleet.readStatus();
+      return readings.match(
+        (value) => ConsoleServer.buildPage(new pages.FleetPage(value).render()),
+        (detail) => ConsoleServer.buildPage(pages.Html.renderPage('Fleet', `<p class="notice">The platform's list cannot be read: ${pages.Html.encodeText(detail)}</p>`), 503),
+      );
+    }
+    if (pathname === '/evidence') return ConsoleServer.buildPage(new pages.EvidencePage('', []).render());
+    return ConsoleServer.buildPage(pages.Html.renderPage('Not found', '<p>There is no such page.</p>'), 404);
+  }
+
+  private async answerForm(pathname: string, form: URLSearchParams): Promise<ConsoleAnswer> {
+    if (pathname === '/evidence') {
+      const member = form.get('member') ?? '';
+      const readings = await this.fleet.readEvidence(member, form.get('key') ?? '');
+      return ConsoleServer.buildPage(new pages.EvidencePage(member, readings.unwrapOr([])).render());
+    }
+    const draft = documents.DocumentDraft.fromForm(form);
+    if (pathname === '/check') return this.checkDraft(draft);
+    const [action = '', path = ''] = (form.get('action') ?? 'check').split(':');
+    if (action === 'add') return this.showDraft(draft.addItem(path), '');
+    if (action === 'remove') return this.showDraft(draft.removeItem(path), '');
+    if (action === 'seal') return this.sealDraft(draft);
+    return this.showDraft(draft, '');
+  }
+
+  private async openDocument(notice: string): Promise<ConsoleAnswer> {
+    const published = await this.published.read();
+    return published.match(
+      (value) => this.showDraft(value === undefined
+        ? documents.DocumentDraft.createEmpty(this.options.deployment)
+        : documents.DocumentDraft.fromFields(value.fields, value.digest), notice),
+      async (failure) => ConsoleServer.buildPage(pages.Html.renderPage('Configuration', `<p class="notice" role="alert">${pages.Html.encodeText(ConsoleServer.describeFailure(failure))}</p>
+<p>A change is built on the published version, so it cannot be made before that can be read. <a href="/">Try again</a></p>`), 503),
+    );
+  }
+
+  private async checkDraft(draft: documents.DocumentDraft): Promise<ConsoleAnswer> {
+    const page = await this.buildDocumentPage(draft, '');
+    const problems = draft.check().match(() => [], (found) => found);
+    return { status: 200, type: 'application/json', body: JSON.stringify({ problems, review: page.renderReview() }) };
+  }
+
+  private async showDraft(draft: documents.DocumentDraft, notice: string, status = 200): Promise<ConsoleAnswer> {
+    const page = await this.buildDocumentPage(draft, notice);
+    return ConsoleServer.buildPage(page.render(), status);
+  }
+
+  private async buildDocumentPage(draft: documents.DocumentDraft, notice: string): Promise<pages.DocumentPage> {
+    const published = (await this.published.read()).unwrapOr(undefined);
+    return draft.check().match(
+      (fields) => new pages.DocumentPage({
+        draft, notice, problems: [], changes: documents.DocumentChanges.compare(published?.fields, fields),
+      }),
+      (problems) => new pages.DocumentPage({
+        draft, notice, problems, changes: [],
+      }),
+    );
+  }
+
+  private async sealDraft(draft: documents.DocumentDraft): Promise<ConsoleAnswer> {
+    const published = await this.published.read();
+    if (published.isErr()) return this.showDraft(draft, `${ConsoleServer.describeFailure(published.error)}; nothing was sealed`, 503);
+    const digest = published.value?.digest ?? '';
+    // Sealing on an old base would silently undo the change of another operator.
+    if (digest !== draft.base.digest) {
+      const version = published.value?.fields.version ?? 0;
+      return this.showDraft(draft, `Version ${version} was published while this form was open; nothing was sealed. Reload the page to build on it`, 409);
+    }
+    return draft.check().match(
+      async (fields): Promise<ConsoleAnswer> => ({
+        status: 200,
+        type: 'application/toml',
+        body: ConsoleServer.sealFields(fields, this.options.keys.privateKey),
+        fileName: `${fields.deployment}-${fields.version}.toml`,
+      }),
+      () => this.showDraft(draft, 'The document has problems; nothing was sealed', 422),
+    );
+  }
+
+  private static sealFields(fields: core.contracts.DocumentFields, privateKey: crypto.KeyObject): string {
+    return core.contracts.DocumentSeal.sealText(core.contracts.TomlDocumentCodec.encode(fields), privateKey);
+  }
+
+  private static describeFailure(failure: documents.PublishedFailure): string {
+    return failure.type === 'platform-unreachable'
+      ? `The platform cannot be read: ${failure.detail}`
+      : `The published document was not made by this console: ${failure.failure.type}`;
+  }
+
+  private static async readAsset(pathname: string, type: 'text/css' | 'text/javascript'): Promise<ConsoleAnswer> {
+    const file = new URL(`../..${pathname}`, import.meta.url);
+    return { status: 200, type, body: await fs.readFile(file, 'utf8') };
+  }
+
+  private static async readForm(request: http.IncomingMessage): Promise<neverthrow.Result<URLSearchParams, FormFailure>> {
+    const { origin, host } = request.headers;
+    // A page of another site must not be able to seal documents in the name of the operator.
+    if (origin !== undefined && origin !== `http://${host}` && origin !== `https://${host}`) return neverthrow.err({ type: 'other-origin' });
+    const chunks: Buffer[] = [];
+    let length = 0;
+
+    for await (const chunk of request) {
+      length += (chunk as Buffer).length;
+      if (length > BODY_LIMIT_BYTES) return neverthrow.err({ type: 'too-large' });
+      chunks.push(chunk as Buffer);
+    }
+    return neverthrow.ok(new URLSearchParams(Buffer.concat(chunks).toString('utf8')));
+  }
+
+  private static buildPage(body: string, status = 200): ConsoleAnswer {
+    return { status, type: 'text/html', body };
+  }
+
+  private static sendAnswer(response: http.ServerResponse, answer: ConsoleAnswer): void {
+    response.writeHead(answer.status, {
+      'content-type': `${answer.type}; charset=utf-8`,
+      'content-security-policy': "default-src 'self'",
+      'x-content-type-options': 'nosniff',
+      'cache-control': 'no-store',
+      ...(answer.fileName === undefined ? {} : { 'content-disposition': `attachment; filename="${answer.fileName}"` }),
+    });
+    response.end(answer.body);
+  }
+}
--- /dev/null
+++ b/packages/operator/src/consoles/index.ts
@@ -0,0 +1,1 @@
+export * from './ConsoleServer.js';
--- /dev/null
+++ b/packages/operator/src/documents/DocumentChanges.ts
@@ -0,0 +1,47 @@
+import type * as core from '@tamarackferry/core';
+
+/** One difference between two documents. */
+export interface DocumentChange {
+  readonly type: 'added' | 'removed' | 'changed';
+  /** Path with the names of the items, such as `services orders kinds status deadline_ms`. */
+  readonly path: string;
+  readonly before: string;
+  readonly after: string;
+}
+
+// The console sets these fields itself with each version.
+const OWN_FIELDS = new Set(['format', 'version', 'base_digest']);
+
+function listLeaves(value: unknown, path: string): readonly (readonly [string, string])[] {
+  if (Array.isArray(value)) {
+    return value.flatMap((item: unknown) => listLeaves(item, `${path} ${(item as { name?: string }).name ?? ''}`));
+  }
+  if (typeof value === 'object' && value !== null) {
+    return Object.entries(value).filter(([key]) => !OWN_FIELDS.has(key)).flatMap(([key, part]) => listLeaves(part, `${path} ${key}`.trim()));
+  }
+  return [[path, String(value)]];
+}
+
+/** Lists what a draft changes against the published document. */
+export class DocumentChanges {
+  /**
+   * Compares two documents field by field. Items of a list are matched by name.
+   * @param before - Published fields, or undefined if none are published.
+   * @param after - Fields of the draft.
+   */
+  static compare(before: core.contracts.DocumentFields | undefined, after: core.contracts.DocumentFields): readonly DocumentChange[] {
+    const old = new Map(before === undefined ? [] : listLeaves(before, ''));
+    const fresh = new Map(listLeaves(after, ''));
+    const changed = [...fresh].flatMap(([path, value]): DocumentChange[] => {
+      const previous = old.get(path);
+      if (previous === value) return [];
+      return [{
+        type: previous === undefined ? 'added' : 'changed', path, before: previous ?? '', after: value,
+      }];
+    });
+    const removed = [...old].filter(([path]) => !fresh.has(path)).map(([path, value]): DocumentChange => ({
+      type: 'removed', path, before: value, after: '',
+    }));
+    return [...changed, ...removed];
+  }
+}
--- /dev/null
+++ b/packages/operator/src/documents/DocumentDraft.ts
@@ -0,0 +1,182 @@
+import * as core from '@tamarackferry/core';
+import * as neverthrow from 'neverthrow';
+
+import type * as draftField from './DraftField.js';
+import * as draftSections from './draftSections.js';
+
+/** One item of a draft: texts of its inputs and lists of its items, as the form holds them. */
+export interface DraftItem {
+  readonly texts: Readonly<Record<string, string>>;
+  readonly lists: Readonly<Record<string, readonly DraftItem[]>>;
+}
+
+/** Fault of one input. */
+export interface DraftProblem {
+  /** Dotted path of the input, such as `services.0.kinds.1.deadline_ms`. */
+  readonly field: string;
+  readonly found: string;
+  readonly expected: string;
+}
+
+/** Version that a draft builds on. */
+export interface DraftBase {
+  readonly deployment: string;
+  readonly version: number;
+  /** Digest of the published version; empty if none is published. */
+  readonly digest: string;
+}
+
+/** Configuration document while it is being filled in. Drafts are immutable; each change gives a new one. */
+export class DocumentDraft {
+  private constructor(
+    readonly base: DraftBase,
+    private readonly root: DraftItem,
+  ) {}
+
+  /**
+   * Creates a draft with one empty item in each section.
+   * @param deployment - Name of the deployment.
+   */
+  static createEmpty(deployment: string): DocumentDraft {
+    const root: DraftItem = {
+      texts: {},
+      lists: Object.fromEntries(draftSections.DRAFT_SECTIONS.map((section) => [section.key, [DocumentDraft.createItem(section)]])),
+    };
+    return new DocumentDraft({ deployment, version: 0, digest: '' }, root);
+  }
+
+  /**
+   * Creates a draft from the published fields.
+   * @param fields - Fields of the published document.
+   * @param digest - Digest of its text.
+   */
+  static fromFields(fields: core.contracts.DocumentFields, digest: string): DocumentDraft {
+    const base = { deployment: fields.deployment, version: fields.version, digest };
+    return new DocumentDraft(base, DocumentDraft.readItem(fields, { fields: [], sections: draftSections.DRAFT_SECTIONS }));
+  }
+
+  /**
+   * Creates a draft from the inputs of the form.
+   * @param form - Submitted inputs.
+   */
+  static fromForm(form: URLSearchParams): DocumentDraft {
+    const base = {
+      deployment: form.get('base.deployment') ?? '',
+      version: Number(form.get('base.version') ?? 0),
+      digest: form.get('base.digest') ?? '',
+    };
+    return new DocumentDraft(base, DocumentDraft.readForm(form, '', { fields: [], sections: draftSections.DRAFT_SECTIONS }));
+  }
+
+  /**
+   * Gets the items of a list.
+   * @param path - Dotted path of the list, such as `services.0.kinds`.
+   */
+  getItems(path: string): readonly DraftItem[] {
+    const keys = path.split('.');
+    const list = (item: DraftItem | undefined, rest: readonly string[]): readonly DraftItem[] => {
+      const items = item?.lists[rest[0] ?? ''] ?? [];
+      return rest.length <= 1 ? items : list(items[Number(rest[1])], rest.slice(2));
+    };
+    return list(this.root, keys);
+  }
+
+  /**
+   * Returns a draft with a new item at the end of a list.
+   * @param path - Dotted path of the list.
+   */
+  addItem(path: string): DocumentDraft {
+    const section = DocumentDraft.findSection(path);
+    return section === undefined ? this : this.updateList(path, (items) => [...items, DocumentDraft.createItem(section)]);
+  }
+
+  /**
+   * Returns a draft without an item.
+   * @param path - Dotted path of the item, such as `services.0`.
+   */
+  removeItem(path: string): DocumentDraft {
+    const position = path.lastIndexOf('.');
+    const index = Number(path.slice(position + 1));
+    return this.updateList(path.slice(0, position), (items) => items.filter((_, other) => other !== index));
+  }
+
+  /** Checks the draft and returns its fields, or the problems of its inputs. */
+  check(): neverthrow.Result<core.contracts.DocumentFields, readonly DraftProblem[]> {
+    const value = {
+      format: 1,
+      deployment: this.base.deployment,
+      version: this.base.version + 1,
+      base_digest: this.base.digest,
+      ...DocumentDraft.convertItem(this.root, { fields: [], sections: draftSections.DRAFT_SECTIONS }),
+    };
+    const parsed = core.contracts.DOCUMENT_SCHEMA.safeParse(value);
+    if (parsed.success) return neverthrow.ok(parsed.data);
+    return neverthrow.err(parsed.error.issues.map((issue) => {
+      const found = issue.path.reduce<unknown>((part, key) => (part as Record<PropertyKey, unknown> | undefined)?.[key], value);
+      return { field: issue.path.map(String).join('.'), found: JSON.stringify(found) ?? 'nothing', expected: issue.message };
+    }));
+  }
+
+  private updateList(path: string, change: (items: readonly DraftItem[]) => readonly DraftItem[]): DocumentDraft {
+    const update = (item: DraftItem, [key = '', index, ...rest]: readonly string[]): DraftItem => {
+      const items = item.lists[key] ?? [];
+      const changed = index === undefined
+        ? change(items)
+        : items.map((other, position) => (position === Number(index) ? update(other, rest) : other));
+      return { texts: item.texts, lists: { ...item.lists, [key]: changed } };
+    };
+    return new DocumentDraft(this.base, update(this.root, path.split('.')));
+  }
+
+  private static findSection(path: string): draftField.DraftSection | undefined {
+    const keys = path.split('.').filter((key) => !/^\d+$/.test(key));
+    return keys.reduce<{ sections: readonly draftField.DraftSection[]; found: draftField.DraftSection | undefined }>((state, key) => {
+      const found = state.sections.find((section) => section.key === key);
+      return { sections: found?.sections ?? [], found };
+    }, { sections: draftSections.DRAFT_SECTIONS, found: undefined }).found;
+  }
+
+  private static createItem(section: draftField.DraftSection): DraftItem {
+    return {
+      texts: Object.fromEntries(section.fields.map((field) => [field.key, field.initial])),
+      lists: Object.fromEntries(section.sections.map((inner) => [inner.key, [DocumentDraft.createItem(inner)]])),
+    };
+  }
+
+  private static readItem(value: object, shape: Pick<draftField.DraftSection, 'fields' | 'sections'>): DraftItem {
+    const record = value as Record<string, unknown>;
+    return {
+      texts: Object.fromEntries(shape.fields.map((field) => [field.key, String(record[field.key] ?? '')])),
+      lists: Object.fromEntries(shape.sections.map((section) => [
+        section.key, (record[section.key] as object[] | undefined ?? []).map((item) => DocumentDraft.readItem(item, section)),
+      ])),
+    };
+  }
+
+  private static readForm(form: URLSearchParams, prefix: string, shape: Pick<draftField.DraftSection, 'fields' | 'sections'>): DraftItem {
+    return {
+      texts: Object.fromEntries(shape.fields.map((field) => [field.key, form.get(`${prefix}${field.key}`)?.trim() ?? ''])),
+      lists: Object.fromEntries(shape.sections.map((section) => {
+        const length = Number(form.get(`${prefix}${section.key}.length`) ?? 0);
+        const items = Array.from({ length: Math.min(length, 10_000) }, (_, index) => (
+          DocumentDraft.readForm(form, `${prefix}${section.key}.${index}.`, section)));
+        return [section.key, items];
+      })),
+    };
+  }
+
+  private static convertItem(item: DraftItem, shape: Pick<draftField.DraftSection, 'fields' | 'sections'>): Record<string, unknown> {
+    return Object.fromEntries([
+      ...shape.fields.map((field) => [field.key, DocumentDraft.convertText(item.texts[field.key] ?? '', field)]),
+      ...shape.sections.map((section) => [
+        section.key, (item.lists[section.key] ?? []).map((inner) => DocumentDraft.convertItem(inner, section)),
+      ]),
+    ] as [string, unknown][]);
+  }
+
+  private static convertText(text: string, field: draftField.DraftField): unknown {
+    if (field.input !== 'integer' && field.input !== 'number') return text;
+    const number = Number(text);
+    return text === '' || Number.isNaN(number) ? text : number;
+  }
+}
--- /dev/null
+++ b/packages/operator/src/documents/PublishedDocument.ts
@@ -0,0 +1,53 @@
+import * as crypto from 'node:crypto';
+import * as core from '@tamarackferry/core';
+import * as neverthrow from 'neverthrow';
+import * as undici from 'undici';
+
+const READ_TIMEOUT_MS = 5_000;
+
+/** Reason why the published document cannot be used as a base. */
+export type PublishedFailure =
+  | { readonly type: 'platform-unreachable'; readonly detail: string }
+  | { readonly type: 'refused'; readonly failure: core.contracts.DocumentFailure };
+
+/** Document that the platform publishes. */
+export interface Published {
+  readonly fields: core.contracts.DocumentFields;
+  readonly digest: string;
+}
+
+/** Reads the published document from the platform. The console never writes there. */
+export class PublishedDocument {
+  private readonly reader = new core.contracts.TomlReader(core.contracts.DOCUMENT_SCHEMA);
+
+  /**
+   * @param platformUrl - Base URL of the platform.
+   * @param publicKey - Key that published documents are sealed with.
+   */
+  constructor(private readonly platformUrl: string, private readonly publicKey: crypto.KeyObject) {}
+
+  /** Reads the document in force; undefined if the platform publishes none yet. */
+  async read(): Promise<neverthrow.Result<Published | undefined, PublishedFailure>> {
+    const response = await neverthrow.ResultAsync.fromPromise(this.fetchText(), (error): PublishedFailure => ({
+      type: 'platform-unreachable', detail: error instanceof Error ? error.message : 'no answer',
+    }));
+    return response.andThen(({ status, text }): neverthrow.Result<Published | undefined, PublishedFailure> => {
+      if (status === 404 || (status === 200 && text === '')) return neverthrow.ok(undefined);
+      // Any other status says nothing about what is published; taking it for "none" would start again at version 1.
+      if (status !== 200) return neverthrow.err({ type: 'platform-unreachable', detail: `status ${status}` });
+      return this.decode(text);
+    });
+  }
+
+  private decode(text: string): neverthrow.Result<Published, PublishedFailure> {
+    return core.contracts.DocumentSeal.verifyText(text, this.publicKey)
+      .andThen((body) => this.reader.read(body))
+      .map((fields) => ({ fields, digest: crypto.createHash('sha256').update(text).digest('hex') }))
+      .mapErr((failure): PublishedFailure => ({ type: 'refused', failure }));
+  }
+
+  private async fetchText(): Promise<{ readonly status: number; readonly text: string }> {
+    const response = await undici.request(`${this.platformUrl}/configuration`, { headersTimeout: READ_TIMEOUT_MS, bodyTimeout: READ_TIMEOUT_MS });
+    return { status: response.statusCode, text: await response.body.text() };
+  }
+}
--- /dev/null
+++ b/packages/operator/src/fleet/FleetReader.ts
@@ -0,0 +1,66 @@
+import type * as core from '@tamarackferry/core';
+import * as neverthrow from 'neverthrow';
+import * as undici from 'undici';
+
+const READ_TIMEOUT_MS = 2_000;
+
+/** State of one VM as its status page gave it, or why it could not be read. */
+export type VmReading =
+  | { readonly type: 'read'; readonly vm: string; readonly status: core.vms.VmStatus }
+  | { readonly type: 'unreachable'; readonly vm: string; readonly detail: string };
+
+/** Evidence of one member on one VM, or a VM whose counts are unknown. */
+export type EvidenceReading =
+  | { readonly type: 'read'; readonly vm: string; readonly report: core.callers.MemberReport }
+  | { readonly type: 'unknown'; readonly vm: string };
+
+/** Reads the status and evidence pages of the entry VMs that the platform lists. */
+export class FleetReader {
+  /** @param platformUrl - Base URL of the platform. */
+  constructor(private readonly platformUrl: string) {}
+
+  /** Reads the status of all listed VMs. */
+  async readStatus(): Promise<neverthrow.Result<readonly VmReading[], string>> {
+    const listed = await this.readList();
+    return listed.asyncMap((entries) => Promise.all(entries.map(async (entry): Promise<VmReading> => {
+      const status = await FleetReader.fetchJson<core.vms.VmStatus>(`http://${entry.host}:${entry.port}/-/status`);
+      return status.match(
+        (value): VmReading => ({ type: 'read', vm: entry.name, status: value }),
+        (detail): VmReading => ({ type: 'unreachable', vm: entry.name, detail }),
+      );
+    })));
+  }
+
+  /**
+   * Reads the evidence of one member from all listed VMs.
+   * @param member - Name of the member.
+   * @param key - Key of the member; empty if none is set.
+   */
+  async readEvidence(member: string, key: string): Promise<neverthrow.Result<readonly EvidenceReading[], string>> {
+    const listed = await this.readList();
+    return listed.asyncMap((entries) => Promise.all(entries.map(async (entry): Promise<EvidenceReading> => {
+      const url = `http://${entry.host}:${entry.port}/-/evidence?member=${encodeURIComponent(member)}`;
+      const report = await FleetReader.fetchJson<core.callers.MemberReport>(url, key === '' ? {} : { 'tamarack-member-key': key });
+      return report.match(
+        (value): EvidenceReading => ({ type: 'read', vm: entry.name, report: value }),
+        (): EvidenceReading => ({ type: 'unknown', vm: entry.name }),
+      );
+    })));
+  }
+
+  private async readList(): Promise<neverthrow.Result<readonly core.vms.EntryVmListEntry[], string>> {
+    const list = await FleetReader.fetchJson<{ entries: readonly core.vms.ListEntry[] }>(`${this.platformUrl}/vms`);
+    return list.map(({ entries }) => entries.filter((entry) => entry.role === 'entry'));
+  }
+
+  private static async fetchJson<Value>(url: string, headers: Record<string, string> = {}): Promise<neverthrow.Result<Value, string>> {
+    return neverthrow.ResultAsync.fromPromise((async () => {
+      const response = await undici.request(url, { headers, headersTimeout: READ_TIMEOUT_MS, bodyTimeout: READ_TIMEOUT_MS });
+      if (response.statusCode !== 200) {
+        await response.body.dump();
+        return neverthrow.err<Value, string>(`status ${response.statusCode}`);
+      }
+      return neverthrow.ok<Value, string>(await response.body.json() as Value);
+    })(), (error) => (error instanceof Error ? error.message : 'no answer')).andThen((result) => result);
+  }
+}
--- /dev/null
+++ b/packages/operator/src/fleet/index.ts
@@ -0,0 +1,1 @@
+export * from './FleetReader.js';
--- /dev/null
+++ b/packages/operator/src/pages/DocumentPage.ts
@@ -0,0 +1,104 @@
+import type * as documents from '../documents/index.js';
+import * as sections from '../documents/draftSections.js';
+import * as html from './Html.js';
+
+/** What the document page shows. */
+export interface DocumentPageOptions {
+  readonly draft: documents.DocumentDraft;
+  readonly problems: readonly documents.DraftProblem[];
+  readonly changes: readonly documents.DocumentChange[];
+  /** Message above the form; empty for none. */
+  readonly notice: string;
+}
+
+// Browsers press the first button of a form on Enter; without this one Enter would remove the first place.
+const DEFAULT_BUTTON = '<button name="action" value="check" formnovalidate class="default" tabindex="-1" aria-hidden="true">Check</button>';
+
+/** Renders the form of a configuration document. */
+export class DocumentPage {
+  /** @param options - What the page shows. */
+  constructor(private readonly options: DocumentPageOptions) {}
+
+  /** Renders the page. */
+  render(): string {
+    const { base } = this.options.draft;
+    const { notice, draft } = this.options;
+    const title = `Configuration of ${base.deployment}`;
+    const built = base.version === 0 ? 'No version is published yet.' : `Built on published version ${base.version}.`;
+    return html.Html.renderPage(title, `
+<p>${built} Sealing makes version ${base.version + 1}; publish the file through version control.</p>
+${notice === '' ? '' : `<p class="notice" role="alert">${html.Html.encodeText(notice)}</p>`}
+<form id="document" method="post" action="/">
+${DEFAULT_BUTTON}
+${DocumentPage.renderHidden('base.deployment', base.deployment)}
+${DocumentPage.renderHidden('base.version', String(base.version))}
+${DocumentPage.renderHidden('base.digest', base.digest)}
+${sections.DRAFT_SECTIONS.map((section) => this.renderSection(section, section.key, draft)).join('')}
+<div id="review" aria-live="polite">${this.renderReview()}</div>
+<p class="actions"><button name="action" value="check" formnovalidate>Check</button>
+<button name="action" value="seal" class="primary">Seal and download</button></p>
+</form>`);
+  }
+
+  /** Renders the problems and the changes, also for updates while the form is filled in. */
+  renderReview(): string {
+    const { problems, changes, draft } = this.options;
+    const faults = problems.length === 0
+      ? '<p class="ok">All fields are valid.</p>'
+      : `<h2>Problems</h2><ul class="problems">${problems.map((problem) => `<li><a href="#${html.Html.encodeText(problem.field)}">`
+        + `${html.Html.encodeText(problem.field)}</a>: found ${html.Html.encodeText(problem.found)}, `
+        + `expected ${html.Html.encodeText(problem.expected)}</li>`).join('')}</ul>`;
+    const heading = draft.base.version === 0 ? 'New document' : `Changes against version ${draft.base.version}`;
+    if (problems.length > 0) return faults;
+    const table = changes.length === 0
+      ? '<p>Nothing is changed.</p>'
+      : html.Html.renderTable(heading, ['Change', 'Field', 'Published', 'New'], changes.map((change) => (
+        [change.type, change.path, change.before, change.after])));
+    return `${faults}<h2>Review</h2>${table}`;
+  }
+
+  private renderSection(section: documents.DraftSection, path: string, draft: documents.DocumentDraft): string {
+    const items = draft.getItems(path);
+    const fault = this.options.problems.find((problem) => problem.field === path);
+    return `<section id="${path}"><h2>${section.title}</h2>${DocumentPage.renderFault(path, fault)}
+${DocumentPage.renderHidden(`${path}.length`, String(items.length))}
+${items.map((item, index) => this.renderItem(section, `${path}.${index}`, item, draft)).join('')}
+<button name="action" value="add:${path}" formnovalidate>Add ${section.item}</button></section>`;
+  }
+
+  private renderItem(section: documents.DraftSection, path: string, item: documents.DraftItem, draft: documents.DocumentDraft): string {
+    const name = item.texts['name'] === '' ? `new ${section.item}` : item.texts['name'] ?? '';
+    return `<fieldset><legend>${section.item} ${html.Html.encodeText(name)}</legend><div class="fields">
+${section.fields.map((field) => this.renderField(field, `${path}.${field.key}`, item.texts[field.key] ?? '')).join('')}</div>
+${section.sections.map((inner) => this.renderSection(inner, `${path}.${inner.key}`, draft)).join('')}
+<button name="action" value="remove:${path}" formnovalidate class="remove">Remove ${section.item} ${html.Html.encodeText(name)}</button></fieldset>`;
+  }
+
+  private renderField(field: documents.DraftField, path: string, text: string): string {
+    const fault = this.options.problems.find((problem) => problem.field === path);
+    const attributes = `id="${path}" name="${path}" aria-describedby="${path}.hint ${path}.fault"${fault === undefined ? '' : ' aria-invalid="true"'}`;
+    return `<label for="${path}">${field.label}${DocumentPage.renderInput(field, attributes, text)}
+<small id="${path}.hint">${html.Html.encodeText(field.hint)}</small>${DocumentPage.renderFault(path, fault)}</label>`;
+  }
+
+  private static renderInput(field: documents.DraftField, attributes: string, text: string): string {
+    if (field.input === 'choice') {
+      const choices = (field.choices ?? []).map((choice) => `<option${choice === text ? ' selected' : ''}>${choice}</option>`).join('');
+      return `<select ${attributes}>${choices}</select>`;
+    }
+    const type = field.input === 'text' ? 'text' : 'number';
+    const step = field.input === 'number' ? ' step="any"' : '';
+    const minimum = field.minimum === undefined ? '' : ` min="${field.minimum}"`;
+    const pattern = field.pattern === undefined ? '' : ` pattern="${html.Html.encodeText(field.pattern)}"`;
+    return `<input type="${type}" ${attributes}${step}${minimum}${pattern} value="${html.Html.encodeText(text)}">`;
+  }
+
+  private static renderFault(path: string, fault: documents.DraftProblem | undefined): string {
+    const text = fault === undefined ? '' : `Expected ${html.Html.encodeText(fault.expected)}`;
+    return `<span class="fault" id="${path}.fault">${text}</span>`;
+  }
+
+  private static renderHidden(name: string, value: string): string {
+    return `<input type="hidden" name="${name}" value="${html.Html.encodeText(value)}">`;
+  }
+}
--- /dev/null
+++ b/packages/operator/src/pages/index.ts
@@ -0,0 +1,4 @@
+export * from './DocumentPage.js';
+export * from './EvidencePage.js';
+export * from './FleetPage.js';
+export * from './Html.js';
--- /dev/null
+++ b/packages/operator/src/settings/index.ts
@@ -0,0 +1,1 @@
+export * from './ConsoleSettings.js';
