--- a/packages/core/src/contracts/ConfigurationTask.ts
+++ b/packages/core/src/contracts/ConfigurationTask.ts
@@ -51,6 +51,6 @@
     mailboxes.evidence.post(accepted);
     mailboxes.peers.post(accepted);
     mailboxes.lifecycle.post(accepted);
-    outbox.post({ type: 'document-accepted', reference: document.reference });
+    outbox.post({ type: 'document-accepted', reference: document.reference, members: document.members });
   }
 }
--- a/packages/core/src/vms/VmOutput.ts
+++ b/packages/core/src/vms/VmOutput.ts
@@ -40,8 +40,12 @@
   | { readonly type: 'send-peer'; readonly to: vmIdentity.VmIdentity; readonly envelope: peerMessage.PeerEnvelope }
   /** Whether this VM holds a watch on the platform or polls it. */
   | { readonly type: 'platform-mode'; readonly mode: 'watch' | 'poll' }
-  /** A document was accepted. */
-  | { readonly type: 'document-accepted'; readonly reference: contracts.DocumentReference }
+  /** A document was accepted. Its members are needed to check their keys. */
+  | {
+    readonly type: 'document-accepted';
+    readonly reference: contracts.DocumentReference;
+    readonly members: readonly contracts.MemberContract[];
+  }
   | { readonly type: 'evidence-flush'; readonly flush: callers.EvidenceFlush }
   | { readonly type: 'log'; readonly prefix: string; readonly level: 'info' | 'warn'; readonly text: string }
   /** The address validity has expired and all requests have ended; the process may exit. */
--- a/packages/entry/src/callers/CallerListener.ts
+++ b/packages/entry/src/callers/CallerListener.ts
@@ -1,57 +1,84 @@
-import * as crypto from 'node:crypto';
 import * as http from 'node:http';
+import type * as net from 'node:net';
+import type * as stream from 'node:stream';
 import * as core from '@tamarackferry/core';
+import * as neverthrow from 'neverthrow';
 
+import type * as upstreams from '../upstreams/index.js';
+import * as callerExchange from './CallerExchange.js';
 import type * as listenerMessage from './ListenerMessage.js';
+import * as listenerRefusal from './ListenerRefusal.js';
+import * as memberKeys from './MemberKeys.js';
+import * as problemDocument from './ProblemDocument.js';
+import * as requestHead from './RequestHead.js';
 
-// Hop-by-hop headers (RFC 9110, section 7.6.1) and headers that the entry sets itself.
-const DROPPED_HEADERS = new Set([
-  'connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'host', 'content-length',
-]);
-
-const NOT_RUN_STATUS: Partial<Record<core.contracts.NotRunReason, number>> = {
-  'unknown-service': 404,
-  'unknown-kind': 404,
-  'unknown-member': 403,
-  'operation-id-required': 428,
-  'operation-id-invalid': 400,
-  'operation-id-reused': 409,
-  'deadline-exceeded': 504,
-};
+const TIMEOUT_CHECK_PERIOD_MS = 500;
+const REQUEST_ID_LENGTH = 16;
+
+/** Limits of the listener. */
+export interface ListenerLimits {
+  /** Greatest body of a request. */
+  readonly bodyBytes: number;
+  /** Time within which the head of a request has to arrive. */
+  readonly headerTimeoutMs: number;
+  /** Time after which a connection without a request is closed, and by which a body may exceed the header time-out. */
+  readonly idleTimeoutMs: number;
+}
 
 /** Options of a `CallerListener`. */
 export interface CallerListenerOptions {
   readonly host: string;
   readonly port: number;
+  readonly limits: ListenerLimits;
   readonly scheduler: core.tasks.TaskScheduler;
   readonly random: core.randomness.RandomSource;
   readonly vm: core.tasks.Mailbox<core.vms.VmInput>;
+  /** Sends the answers that are streamed. */
+  readonly connections: core.tasks.Mailbox<upstreams.ConnectionMessage>;
 }
 
 /** Owns the HTTP server for callers and the connections that wait for an answer. */
 export class CallerListener extends core.tasks.Task<listenerMessage.ListenerMessage> {
   private readonly server: http.Server;
 
-  private readonly responses = new Map<string, http.ServerResponse>();
+  private readonly exchanges = new Map<string, callerExchange.CallerExchange>();
+
+  // Exchanges of each connection; a parse error may be answered only if no other answer is due on it.
+  private readonly exchangesBySocket = new WeakMap<stream.Duplex, Set<callerExchange.CallerExchange>>();
+
+  private readonly keys = new memberKeys.MemberKeys();
 
-  /** @param options - Address to listen on and the VM that decides. */
+  private state: 'open' | 'stopping' = 'open';
+
+  /** @param options - Address to listen on, limits and the VM that decides. */
   constructor(private readonly options: CallerListenerOptions) {
     super(options.scheduler);
-    this.server = http.createServer((request, response) => this.acceptRequest(request, response));
+    const { headerTimeoutMs, idleTimeoutMs } = options.limits;
+    this.server = http.createServer({
+      headersTimeout: headerTimeoutMs,
+      requestTimeout: headerTimeoutMs + idleTimeoutMs,
+      keepAliveTimeout: idleTimeoutMs,
+      connectionsCheckingInterval: Math.min(TIMEOUT_CHECK_PERIOD_MS, headerTimeoutMs),
+      insecureHTTPParser: false,
+      requireHostHeader: true,
+    }, (request, response) => this.acceptRequest(request, response));
+    this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => this.refuseConnection(error, socket));
   }
 
-  /** Starts listening and resolves to the port that was bound. */
-  listen(): Promise<number> {
+  /** Starts listening and resolves to the port that was bound, or to the error code. */
+  listen(): Promise<neverthrow.Result<number, string>> {
     return new Promise((resolve) => {
+      this.server.once('error', (error: NodeJS.ErrnoException) => resolve(neverthrow.err(error.code ?? error.message)));
       this.server.listen(this.options.port, this.options.host, () => {
-        const address = this.server.address();
-        resolve(typeof address === 'object' && address !== null ? address.port : this.options.port);
+        resolve(neverthrow.ok((this.server.address() as net.AddressInfo).port));
       });
     });
   }
 
-  /** Closes the server and all idle connections. */
+  /** Refuses new connections and resolves when all requests were answered. */
   close(): Promise<void> {
+    this.state = 'stopping';
+    this.exchanges.forEach((exchange) => exchange.setLast());
     return new Promise((resolve) => {
       this.server.close(() => resolve());
       this.server.closeIdleConnections();
@@ -62,100 +89,159 @@
   override handle(message: listenerMessage.ListenerMessage): void {
     switch (message.type) {
       case 'caller-answer':
-        this.answerRequest(message.requestId, message.outcome);
+        this.getExchange(message.requestId)?.answer(message.outcome);
         break;
       case 'address-answer':
-        this.answerPage(message.queryId, message.answer.type === 'addresses' ? 200 : 503, message.answer);
+        this.getExchange(message.queryId)?.answerPage(CallerListener.computeAddressStatus(message.answer), message.answer);
         break;
       case 'status-answer':
-        this.answerPage(message.queryId, 200, message.status);
+        this.getExchange(message.queryId)?.answerPage(200, message.status);
         break;
       case 'evidence-answer':
-        this.answerPage(message.queryId, message.report === undefined ? 404 : 200, message.report ?? { type: 'unknown-member' });
+        this.getExchange(message.queryId)?.answerPage(message.report === undefined ? 404 : 200, message.report ?? { type: 'unknown-member' });
+        break;
+      case 'document-accepted':
+        this.keys.update(message.members);
+        break;
+      case 'stream-started':
+        this.getExchange(message.requestId)?.beginStream(message.attemptId, message.status, message.headers);
+        break;
+      case 'stream-data':
+        this.streamData(message.requestId, message.data);
+        break;
+      case 'stream-ended':
+        this.getExchange(message.requestId)?.endStream();
+        break;
+      case 'stream-aborted':
+        this.getExchange(message.requestId)?.cut();
+        break;
+      case 'stop':
+        this.state = 'stopping';
         break;
       // no default
     }
   }
 
+  // Answers that are due when the process stops ask the caller to close the connection.
+  private getExchange(requestId: string): callerExchange.CallerExchange | undefined {
+    const exchange = this.exchanges.get(requestId);
+    if (this.state === 'stopping') exchange?.setLast();
+    return exchange;
+  }
+
+  private streamData(requestId: string, data: Uint8Array): void {
+    const exchange = this.exchanges.get(requestId);
+    const attemptId = exchange?.getStreamedAttempt();
+    if (attemptId === undefined) return;
+    exchange?.writeData(data, () => this.options.connections.post({ type: 'stream-ready', attemptId }));
+  }
+
   private acceptRequest(request: http.IncomingMessage, response: http.ServerResponse): void {
-    const requestId = this.options.random.drawToken(16);
-    this.responses.set(requestId, response);
+    const requestId = this.options.random.drawToken(REQUEST_ID_LENGTH);
+    const exchange = new callerExchange.CallerExchange(request, response);
+    this.exchanges.set(requestId, exchange);
+    const { socket } = request;
+    const siblings = this.exchangesBySocket.get(socket) ?? new Set();
+    this.exchangesBySocket.set(socket, siblings.add(exchange));
     response.on('close', () => {
-      this.responses.delete(requestId);
-      if (!response.writableFinished) this.options.vm.post({ type: 'caller-gone', requestId });
+      this.exchanges.delete(requestId);
+      siblings.delete(exchange);
+      this.handleClose(requestId, exchange, response);
     });
-    const url = new URL(request.url ?? '/', 'http://entry');
-    const [, first = '', ...rest] = url.pathname.split('/');
-    if (first === '-') {
-      this.acceptPageQuery(requestId, rest[0] ?? '', url.searchParams);
+    requestHead.RequestHead.parse(request).match(
+      (head) => {
+        if (head.first === '-') this.acceptPage(requestId, exchange, head);
+        else this.acceptForwarding(requestId, exchange, request, head);
+      },
+      (refusal) => exchange.refuse(refusal),
+    );
+  }
+
+  private handleClose(requestId: string, exchange: callerExchange.CallerExchange, response: http.ServerResponse): void {
+    if (response.writableFinished || exchange.isReceiving()) return;
+    const attemptId = exchange.getStreamedAttempt();
+    if (attemptId !== undefined) this.options.connections.post({ type: 'stream-closed', attemptId });
+    this.options.vm.post({ type: 'caller-gone', requestId });
+  }
+
+  private acceptForwarding(
+    requestId: string,
+    exchange: callerExchange.CallerExchange,
+    request: http.IncomingMessage,
+    head: requestHead.RequestHead,
+  ): void {
+    const { bodyBytes } = this.options.limits;
+    const tooLarge = { reason: 'body-too-large', detail: `a body may have ${bodyBytes} bytes` } as const;
+    if (this.keys.check(head.getMember(), head.getMemberKey()) === 'refused') {
+      exchange.refuse({ reason: 'member-key-invalid', detail: 'tamarack-member-key does not match the member' });
+      return;
+    }
+    if ((head.getDeclaredLength() ?? 0) > bodyBytes) {
+      exchange.refuse(tooLarge);
       return;
     }
     const chunks: Buffer[] = [];
-    request.on('data', (chunk: Buffer) => chunks.push(chunk));
-    request.on('end', () => this.options.vm.post({
-      type: 'caller-request',
-      requestId,
-      request: CallerListener.buildRequest(request, first, `/${rest.join('/')}${url.search}`, Buffer.concat(chunks)),
-    }));
+    let receivedBytes = 0;
+    request.on('data', (chunk: Buffer) => {
+      receivedBytes += chunk.length;
+      if (receivedBytes <= bodyBytes) chunks.push(chunk);
+      else exchange.refuse(tooLarge);
+    });
+    request.on('end', () => {
+      if (!exchange.isReceiving()) return;
+      exchange.setWaiting();
+      this.options.vm.post({ type: 'caller-request', requestId, request: head.buildRequest(Buffer.concat(chunks)) });
+    });
   }
 
-  private acceptPageQuery(queryId: string, page: string, query: URLSearchParams): void {
-    if (page === 'addresses') this.options.vm.post({ type: 'address-query', queryId, service: query.get('service') ?? '' });
-    else if (page === 'status') this.options.vm.post({ type: 'status-query', queryId });
-    else if (page === 'evidence') this.options.vm.post({ type: 'evidence-query', queryId, member: query.get('member') ?? '' });
-    else this.answerPage(queryId, page === 'health' ? 200 : 404, { type: page === 'health' ? 'healthy' : 'unknown-page' });
+  private acceptPage(queryId: string, exchange: callerExchange.CallerExchange, head: requestHead.RequestHead): void {
+    const page = head.rest.split('?')[0];
+    const { vm } = this.options;
+    if (head.getMethod() !== 'GET') exchange.refuse({ reason: 'method-not-allowed', detail: 'pages are read with GET' });
+    else if (page === '/addresses') vm.post({ type: 'address-query', queryId, service: head.query.get('service') ?? '' });
+    else if (page === '/status') vm.post({ type: 'status-query', queryId });
+    else if (page === '/evidence') this.acceptEvidenceQuery(queryId, exchange, head);
+    else if (page === '/health') exchange.answerPage(200, { type: 'healthy' });
+    else exchange.refuse({ reason: 'unknown-page', detail: 'pages are addresses, status, evidence and health' });
   }
 
-  private static buildRequest(request: http.IncomingMessage, service: string, path: string, body: Buffer): core.callers.CallerRequest {
-    const header = (name: string): string | undefined => {
-      const value = request.headers[name];
-      return Array.isArray(value) ? value[0] : value;
-    };
-    const method = request.method ?? 'GET';
-    const operationId = header('tamarack-operation-id');
-    const deadline = header('tamarack-deadline-ms');
-    return {
-      service,
-      method,
-      path,
-      headers: Object.entries(request.headers)
-        .filter(([name]) => !DROPPED_HEADERS.has(name) && !name.startsWith('tamarack-'))
-        .map(([name, value]) => [name, Array.isArray(value) ? value.join(', ') : value ?? ''] as const),
-      body,
-      digest: operationId === undefined ? '' : crypto.createHash('sha256').update(`${method} ${path}\n`).update(body).digest('hex'),
-      member: header('tamarack-member') ?? '',
-      deadlineMs: deadline === undefined ? undefined : Number(deadline),
-      operationId,
-    };
+  private acceptEvidenceQuery(queryId: string, exchange: callerExchange.CallerExchange, head: requestHead.RequestHead): void {
+    const member = head.query.get('member') ?? '';
+    const check = this.keys.check(member, head.getMemberKey());
+    if (check === 'accepted') this.options.vm.post({ type: 'evidence-query', queryId, member });
+    else if (check === 'no-document') exchange.refuse({ reason: 'no-configuration', detail: 'no document is in force yet' });
+    // The same answer for an unknown member and a wrong key does not reveal the names of members.
+    else exchange.refuse({ reason: 'member-key-invalid', detail: 'tamarack-member-key does not match the member' });
   }
 
-  private answerRequest(requestId: string, outcome: core.contracts.Outcome): void {
-    const response = this.responses.get(requestId);
-    if (response === undefined) return;
-    if (outcome.type === 'answered') {
-      const { answer } = outcome;
-      response.statusCode = answer.status;
-      answer.headers.filter(([name]) => !DROPPED_HEADERS.has(name)).forEach(([name, value]) => response.appendHeader(name, value));
-      response.setHeader('tamarack-outcome', 'answered');
-      response.end(answer.body);
+  private refuseConnection(error: NodeJS.ErrnoException, socket: stream.Duplex): void {
+    const open = [...this.exchangesBySocket.get(socket) ?? []];
+    const refusal = CallerListener.buildRefusal(error.code ?? '');
+    const [only] = open;
+    if (open.length === 1 && only?.isReceiving() === true && socket.writable) {
+      only.setLast();
+      only.refuse(refusal);
       return;
     }
-    response.statusCode = outcome.type === 'unknown' ? 502 : NOT_RUN_STATUS[outcome.reason] ?? 503;
-    response.setHeader('tamarack-outcome', outcome.type);
-    response.setHeader('tamarack-reason', outcome.reason);
-    response.setHeader('content-type', 'application/problem+json');
-    if (outcome.type === 'not-run') {
-      response.setHeader('retry-after', String(Math.ceil(outcome.retryAfterMs / 1_000)));
-      if (outcome.operationPrefix !== undefined) response.setHeader('tamarack-operation-prefix', outcome.operationPrefix);
+    if (open.length > 0 || !socket.writable) {
+      socket.destroy();
+      return;
     }
-    response.end(JSON.stringify({ title: outcome.type, type: `urn:tamarackferry:${outcome.reason}`, status: response.statusCode }));
+    const status = listenerRefusal.REFUSAL_STATUS[refusal.reason];
+    // The request could not be parsed, so it may carry an operation id.
+    socket.end(problemDocument.ProblemDocument.formatAnswer({
+      outcome: 'unknown', reason: refusal.reason, status, detail: refusal.detail,
+    }, http.STATUS_CODES[status] ?? 'Error'), () => socket.destroy());
+  }
+
+  private static buildRefusal(code: string): listenerRefusal.ListenerRefusal {
+    if (code === 'ERR_HTTP_REQUEST_TIMEOUT') return { reason: 'request-timeout', detail: 'the request did not arrive in time' };
+    if (code === 'HPE_HEADER_OVERFLOW') return { reason: 'header-too-large', detail: 'the head of the request is too large' };
+    return { reason: 'malformed-request', detail: 'the request is not valid HTTP/1.1' };
   }
 
-  private answerPage(queryId: string, status: number, page: object): void {
-    const response = this.responses.get(queryId);
-    if (response === undefined) return;
-    response.statusCode = status;
-    response.setHeader('content-type', 'application/json');
-    response.end(JSON.stringify(page));
+  private static computeAddressStatus(answer: core.vms.AddressAnswer): number {
+    if (answer.type === 'addresses') return 200;
+    return answer.type === 'unknown-service' ? 404 : 503;
   }
 }
--- /dev/null
+++ b/packages/entry/src/callers/ListenerRefusal.ts
@@ -0,0 +1,32 @@
+/** Reason why the listener refuses a request before the VM sees it. */
+export type ListenerRefusalReason = | 'malformed-request'
+  | 'header-too-large'
+  | 'request-timeout'
+  | 'body-too-large'
+  | 'path-invalid'
+  | 'deadline-invalid'
+  | 'member-key-invalid'
+  | 'unknown-page'
+  | 'method-not-allowed'
+  | 'no-configuration';
+
+/** Refusal of a request by the listener. */
+export interface ListenerRefusal {
+  readonly reason: ListenerRefusalReason;
+  /** Short sentence for the problem document. */
+  readonly detail: string;
+}
+
+/** Status code of each refusal. */
+export const REFUSAL_STATUS: Readonly<Record<ListenerRefusalReason, number>> = {
+  'malformed-request': 400,
+  'header-too-large': 431,
+  'request-timeout': 408,
+  'body-too-large': 413,
+  'path-invalid': 400,
+  'deadline-invalid': 400,
+  'member-key-invalid': 403,
+  'unknown-page': 404,
+  'method-not-allowed': 405,
+  'no-configuration': 503,
+};
--- /dev/null
+++ b/packages/entry/src/links/HeaderFilter.ts
@@ -0,0 +1,34 @@
+// Hop-by-hop headers (RFC 9110, section 7.6.1) and headers that each hop sets itself.
+const HOP_HEADERS = new Set([
+  'connection', 'keep-alive', 'proxy-connection', 'proxy-authenticate', 'proxy-authorization', 'te', 'trailer', 'transfer-encoding', 'upgrade',
+  'host', 'content-length', 'expect',
+]);
+
+/** Decides which headers pass from one hop to the next. */
+export class HeaderFilter {
+  /**
+   * Lists the request headers that go on to the upstream.
+   * @param fields - Header fields of the request by lower-case name.
+   */
+  static listRequestHeaders(fields: NodeJS.Dict<string | string[]>): readonly (readonly [string, string])[] {
+    return HeaderFilter.listHeaders(Object.entries(fields));
+  }
+
+  /**
+   * Lists the answer headers that go on to the caller.
+   * @param fields - Header fields of the answer by lower-case name.
+   */
+  static listAnswerHeaders(fields: ReadonlyMap<string, string | readonly string[]>): readonly (readonly [string, string])[] {
+    return HeaderFilter.listHeaders([...fields]);
+  }
+
+  private static listHeaders(
+    entries: readonly (readonly [string, string | readonly string[] | undefined])[],
+  ): readonly (readonly [string, string])[] {
+    const named = entries.find(([name]) => name === 'connection')?.[1] ?? '';
+    const listed = new Set(String(named).toLowerCase().split(',').map((name) => name.trim()));
+    return entries
+      .filter(([name]) => !HOP_HEADERS.has(name) && !listed.has(name) && !name.startsWith('tamarack-'))
+      .flatMap(([name, value]) => (typeof value === 'string' ? [value] : value ?? []).map((single) => [name, single] as const));
+  }
+}
--- /dev/null
+++ b/packages/entry/src/links/PeerCodec.ts
@@ -0,0 +1,42 @@
+import type * as core from '@tamarackferry/core';
+import * as neverthrow from 'neverthrow';
+
+import * as peerSchema from './PeerSchema.js';
+
+function encodeBytes(bytes: Uint8Array): string {
+  return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength).toString('base64');
+}
+
+/** Writes peer envelopes as JSON values with bodies in base64, and reads them. */
+export class PeerCodec {
+  /**
+   * Builds the JSON value of an envelope.
+   * @param envelope - Envelope to send.
+   */
+  static encode(envelope: core.vms.PeerEnvelope): object {
+    const { message } = envelope;
+    if (message.type === 'operation-forwarded') {
+      const { request } = message;
+      return { ...envelope, message: { ...message, request: { ...request, body: encodeBytes(request.body) } } };
+    }
+    if (message.type === 'operation-ended' && message.outcome.type === 'answered') {
+      const { answer } = message.outcome;
+      return { ...envelope, message: { ...message, outcome: { type: 'answered', answer: { ...answer, body: encodeBytes(answer.body) } } } };
+    }
+    return envelope;
+  }
+
+  /**
+   * Reads an envelope, or describes why it cannot be read.
+   * @param value - JSON value from a peer.
+   */
+  static decode(value: unknown): neverthrow.Result<core.vms.PeerEnvelope, string> {
+    const parsed = peerSchema.PEER_ENVELOPE_SCHEMA.safeParse(value);
+    if (!parsed.success) {
+      const issue = parsed.error.issues[0];
+      return neverthrow.err(`${issue?.path.join('.') ?? ''}: ${issue?.message ?? 'not readable'}`);
+    }
+    // JSON has no undefined: a missing field of the schema is a field of the type that is undefined.
+    return neverthrow.ok(parsed.data as unknown as core.vms.PeerEnvelope);
+  }
+}
--- /dev/null
+++ b/packages/entry/src/links/PeerSchema.ts
@@ -0,0 +1,74 @@
+import * as zod from 'zod';
+
+// Bounds on what a peer may send, far above what a VM sends.
+const MAX_ITEMS = 10_000;
+const MAX_DOCUMENT_CHARACTERS = 2 * 1024 * 1024;
+const NAME = zod.string().max(255);
+const COUNT = zod.number().min(0);
+
+const BYTES = zod.base64().transform((text): Uint8Array => Buffer.from(text, 'base64'));
+const HEADERS = zod.array(zod.tuple([zod.string(), zod.string()])).max(MAX_ITEMS);
+
+const IDENTITY = zod.object({
+  name: NAME, incarnation: NAME, host: NAME, port: zod.int().min(0).max(65_535), peerPort: zod.int().min(0).max(65_535), place: NAME,
+});
+const REFERENCE = zod.object({ version: zod.int(), digest: NAME });
+const DRAINS = zod.array(zod.object({ service: NAME, instance: NAME, incarnation: NAME })).max(MAX_ITEMS);
+const NAMES = zod.array(NAME).max(MAX_ITEMS);
+
+const REQUEST = zod.object({
+  service: NAME,
+  method: NAME,
+  path: zod.string(),
+  headers: HEADERS,
+  body: BYTES,
+  digest: NAME,
+  member: NAME,
+  deadlineMs: zod.number().min(0).optional(),
+  operationId: NAME.optional(),
+});
+
+const OUTCOME = zod.discriminatedUnion('type', [
+  zod.object({ type: zod.literal('answered'), answer: zod.object({ status: zod.int(), headers: HEADERS, body: BYTES }) }),
+  zod.object({
+    type: zod.literal('not-run'), reason: NAME, retryAfterMs: COUNT, operationPrefix: NAME.optional(),
+  }),
+  zod.object({ type: zod.literal('unknown'), reason: NAME }),
+]);
+
+const MESSAGE = zod.discriminatedUnion('type', [
+  zod.object({
+    type: zod.literal('exchange'),
+    direction: zod.enum(['request', 'reply']),
+    document: REFERENCE.optional(),
+    state: zod.enum(['starting', 'serving', 'leaving']),
+    drains: DRAINS,
+    ejections: zod.array(zod.object({ service: NAME, instances: NAMES })).max(MAX_ITEMS),
+    peers: zod.array(IDENTITY).max(MAX_ITEMS),
+  }),
+  zod.object({ type: zod.literal('drain'), notices: DRAINS }),
+  zod.object({ type: zod.literal('leaving') }),
+  zod.object({ type: zod.literal('document-announced'), document: REFERENCE }),
+  zod.object({ type: zod.literal('document-requested') }),
+  zod.object({ type: zod.literal('document'), text: zod.string().max(MAX_DOCUMENT_CHARACTERS) }),
+  zod.object({ type: zod.literal('evidence-requested'), service: NAME, instances: NAMES }),
+  zod.object({
+    type: zod.literal('evidence'),
+    service: NAME,
+    rows: zod.array(zod.object({
+      instance: NAME, incarnation: NAME, good: COUNT, bad: COUNT,
+    })).max(MAX_ITEMS),
+  }),
+  zod.object({ type: zod.literal('reach-requested'), target: IDENTITY }),
+  zod.object({
+    type: zod.literal('reach-reported'), target: NAME, incarnation: NAME, result: zod.enum(['reached', 'silent']),
+  }),
+  zod.object({ type: zod.literal('operation-forwarded'), forwardId: NAME, request: REQUEST }),
+  zod.object({ type: zod.literal('operation-cancelled'), forwardId: NAME }),
+  zod.object({ type: zod.literal('operation-ended'), forwardId: NAME, outcome: OUTCOME }),
+]);
+
+/** Peer envelope as it is sent. Unknown fields are ignored, so that the next format version can be read. */
+export const PEER_ENVELOPE_SCHEMA = zod.object({
+  format: zod.int(), from: IDENTITY, sequence: zod.int().min(0), message: MESSAGE,
+});
--- /dev/null
+++ b/packages/entry/src/metrics/index.ts
@@ -0,0 +1,1 @@
+export * from './MetricsFlusher.js';
--- /dev/null
+++ b/packages/entry/src/platform/HttpPlatformSource.ts
@@ -0,0 +1,84 @@
+import type * as core from '@tamarackferry/core';
+import * as neverthrow from 'neverthrow';
+import * as undici from 'undici';
+
+import * as listSchema from './ListSchema.js';
+import type * as platformFailure from './PlatformFailure.js';
+import * as platformSource from './PlatformSource.js';
+
+// Documents may have 1 MB; the list of the size to design for is larger.
+const MAX_VALUE_BYTES = 64 * 1024 * 1024;
+const READ_TIMEOUT_MS = 5_000;
+const STATE_HEADER = 'tamarack-platform-state';
+
+/** Reads the values of the platform over HTTP. */
+export class HttpPlatformSource extends platformSource.PlatformSource {
+  private readonly agent = new undici.Agent({ connections: 2, pipelining: 1, connect: { timeout: READ_TIMEOUT_MS } });
+
+  /** @param url - Base URL of the platform. */
+  constructor(private readonly url: string) {
+    super();
+  }
+
+  override readConfiguration(options: platformSource.PlatformReadOptions): platformSource.PlatformRead<string> {
+    return this.readValue('/configuration', options);
+  }
+
+  override async readList(options: platformSource.PlatformReadOptions): platformSource.PlatformRead<readonly core.vms.ListEntry[]> {
+    const value = await this.readValue('/vms', options);
+    return value.andThen(({ content, state }) => (content === undefined
+      ? neverthrow.ok({ content: undefined, state })
+      : HttpPlatformSource.parseList(content).map((entries) => ({ content: entries, state }))));
+  }
+
+  override async close(): Promise<void> {
+    await this.agent.destroy();
+  }
+
+  private static parseList(text: string): neverthrow.Result<readonly core.vms.ListEntry[], platformFailure.PlatformFailure> {
+    const unreadable = (detail: string): platformFailure.PlatformFailure => ({ type: 'unreadable', detail });
+    return neverthrow.fromThrowable((json: string): unknown => JSON.parse(json), () => unreadable('not JSON'))(text)
+      .andThen((value) => {
+        const parsed = listSchema.LIST_SCHEMA.safeParse(value);
+        if (!parsed.success) return neverthrow.err(unreadable('no array of entries'));
+        // One wrong entry must not hide the others.
+        const entries = parsed.data.entries.flatMap((entry) => listSchema.LIST_ENTRY_SCHEMA.safeParse(entry).data ?? []);
+        if (entries.length === 0 && parsed.data.entries.length > 0) return neverthrow.err(unreadable('no valid entry'));
+        return neverthrow.ok(entries);
+      });
+  }
+
+  private async readValue(path: string, options: platformSource.PlatformReadOptions): platformSource.PlatformRead<string> {
+    const query = options.after === undefined ? '' : `?after=${encodeURIComponent(options.after)}&waitMs=${options.waitMs}`;
+    const timeoutMs = options.waitMs + READ_TIMEOUT_MS;
+    try {
+      const response = await undici.request(`${this.url}${path}${query}`, {
+        dispatcher: this.agent, signal: options.signal, headersTimeout: timeoutMs, bodyTimeout: READ_TIMEOUT_MS,
+      });
+      const header = response.headers[STATE_HEADER];
+      const state = typeof header === 'string' ? header : undefined;
+      if (response.statusCode === 304) {
+        await response.body.dump();
+        return neverthrow.ok({ content: undefined, state: state ?? options.after });
+      }
+      if (response.statusCode !== 200) {
+        await response.body.dump();
+        return neverthrow.err({ type: 'bad-status', status: response.statusCode });
+      }
+      return await HttpPlatformSource.readBody(response.body, state);
+    } catch (error) {
+      return neverthrow.err({ type: 'unreachable', detail: error instanceof Error ? error.message : 'read failed' });
+    }
+  }
+
+  private static async readBody(body: AsyncIterable<Buffer>, state: string | undefined): platformSource.PlatformRead<string> {
+    const chunks: Buffer[] = [];
+    let receivedBytes = 0;
+    for await (const chunk of body) {
+      receivedBytes += chunk.length;
+      if (receivedBytes > MAX_VALUE_BYTES) return neverthrow.err({ type: 'too-large' });
+      chunks.push(chunk);
+    }
+    return neverthrow.ok({ content: Buffer.concat(chunks).toString('utf8'), state });
+  }
+}
--- /dev/null
+++ b/packages/entry/src/platform/ListSchema.ts
@@ -0,0 +1,18 @@
+import * as zod from 'zod';
+
+const NAME = zod.string().min(1).max(255);
+const PORT = zod.int().min(1).max(65_535);
+const STATE = zod.enum(['live', 'leaving']);
+
+/** Entry of the platform's list. */
+export const LIST_ENTRY_SCHEMA = zod.discriminatedUnion('role', [
+  zod.object({
+    role: zod.literal('entry'), name: NAME, host: NAME, port: PORT, peerPort: PORT, place: NAME, state: STATE,
+  }),
+  zod.object({
+    role: zod.literal('upstream'), name: NAME, service: NAME, incarnation: NAME, host: NAME, port: PORT, place: NAME, state: STATE,
+  }),
+]);
+
+/** Answer of the platform that carries the list. Its entries are checked one by one. */
+export const LIST_SCHEMA = zod.object({ entries: zod.array(zod.unknown()) });
--- a/packages/entry/src/platform/PlatformWatcher.ts
+++ b/packages/entry/src/platform/PlatformWatcher.ts
@@ -1,57 +1,93 @@
 import * as core from '@tamarackferry/core';
-import * as undici from 'undici';
 
-const READ_PERIOD_MS = 1_000;
+import type * as platformFailure from './PlatformFailure.js';
+import * as platformReader from './PlatformReader.js';
+import type * as platformSource from './PlatformSource.js';
 
 /** Message to the `PlatformWatcher`. */
-export type PlatformMessage = { readonly type: 'read-due' } | Extract<core.vms.VmOutput, { type: 'platform-mode' }>;
+export type PlatformMessage = Extract<core.vms.VmOutput, { type: 'platform-mode' }>;
 
 /** Options of a `PlatformWatcher`. */
 export interface PlatformWatcherOptions {
-  /** Base URL of the platform's service. */
-  readonly url: string;
+  readonly source: platformSource.PlatformSource;
   readonly scheduler: core.tasks.TaskScheduler;
   readonly timers: core.time.TimerService;
+  readonly random: core.randomness.RandomSource;
   readonly vm: core.tasks.Mailbox<core.vms.VmInput>;
+  /** Called when the reads of a value begin or cease to fail. */
+  readonly onChange: (text: string) => void;
 }
 
 /** Owns the connection to the platform and reads the configuration and the list of VMs. */
 export class PlatformWatcher extends core.tasks.Task<PlatformMessage> {
-  private subscription: core.time.TimerSubscription | undefined;
+  private readonly configuration: platformReader.PlatformReader<string>;
 
-  /** @param options - Address of the platform and the VM that gets what was read. */
+  private readonly list: platformReader.PlatformReader<readonly core.vms.ListEntry[]>;
+
+  private readonly failing = new Set<'configuration' | 'list'>();
+
+  /** @param options - Platform and the VM that gets what was read. */
   constructor(private readonly options: PlatformWatcherOptions) {
     super(options.scheduler);
+    const { source, vm } = options;
+    this.configuration = new platformReader.PlatformReader({
+      ...options,
+      read: (read) => source.readConfiguration(read),
+      onContent: (text) => {
+        this.recordSuccess('configuration');
+        vm.post({ type: 'configuration-read', text });
+      },
+      onFailure: (failure) => this.recordFailure('configuration', failure),
+    });
+    this.list = new platformReader.PlatformReader({
+      ...options,
+      read: (read) => source.readList(read),
+      onContent: (entries) => {
+        this.recordSuccess('list');
+        vm.post({ type: 'list-read', entries });
+      },
+      onFailure: (failure) => this.recordFailure('list', failure),
+    });
   }
 
   /** Begins to read. */
   start(): void {
-    this.subscription = this.options.timers.subscribe({
-      mailbox: this, message: { type: 'read-due' }, delayMs: 0, periodMs: READ_PERIOD_MS,
-    });
+    this.list.start();
+    this.configuration.start();
   }
 
-  /** Ends reading. */
-  stop(): void {
-    this.subscription?.cancel();
+  /** Ends reading and closes the connections. */
+  async close(): Promise<void> {
+    this.configuration.stop();
+    this.list.stop();
+    await this.options.source.close();
   }
 
   /** @internal */
   override handle(message: PlatformMessage): void {
-    if (message.type !== 'read-due') return;
-    const { vm } = this.options;
-    this.readText('/vms').then(
-      (text) => vm.post({ type: 'list-read', entries: (JSON.parse(text) as { entries: core.vms.ListEntry[] }).entries }),
-      () => vm.post({ type: 'platform-failed', source: 'list' }),
-    );
-    this.readText('/configuration').then(
-      (text) => vm.post({ type: 'configuration-read', text }),
-      () => vm.post({ type: 'platform-failed', source: 'configuration' }),
-    );
+    this.configuration.post({ type: 'mode', mode: message.mode });
+    this.list.post({ type: 'mode', mode: message.mode });
+  }
+
+  private recordSuccess(value: 'configuration' | 'list'): void {
+    if (this.failing.delete(value)) this.options.onChange(`the ${value} is read again`);
+  }
+
+  private recordFailure(value: 'configuration' | 'list', failure: platformFailure.PlatformFailure): void {
+    this.options.vm.post({ type: 'platform-failed', source: value });
+    if (this.failing.has(value)) return;
+    this.failing.add(value);
+    this.options.onChange(`the ${value} cannot be read, ${PlatformWatcher.describeFailure(failure)}`);
   }
 
-  private async readText(path: string): Promise<string> {
-    const response = await undici.request(`${this.options.url}${path}`);
-    return response.body.text();
+  private static describeFailure(failure: platformFailure.PlatformFailure): string {
+    switch (failure.type) {
+      case 'bad-status':
+        return `status ${failure.status}`;
+      case 'too-large':
+        return 'it is too large';
+      default:
+        return failure.detail;
+    }
   }
 }
--- /dev/null
+++ b/packages/entry/src/upstreams/AnswerReader.ts
@@ -0,0 +1,130 @@
+import * as crypto from 'node:crypto';
+import type * as core from '@tamarackferry/core';
+
+import * as links from '../links/index.js';
+
+const NOT_RUN_DECLARATIONS = ['shed', 'draining', 'cancelled'] as const;
+const DIGEST_PATTERN = /(?:^|[\s,])sha-256=:([A-Za-z0-9+/=]+):/;
+
+/** Options of an `AnswerReader`. */
+export interface AnswerReaderOptions {
+  readonly method: string;
+  /** Request id that the instance has to echo. */
+  readonly requestId: string;
+  /** What the upstreams of the service promise; undefined promises nothing. */
+  readonly contract: core.contracts.ServiceContract | undefined;
+  readonly bufferBytes: number;
+}
+
+/** What the head of an answer declares besides its status. */
+export interface AnswerDeclarations {
+  readonly echo: 'matched' | 'mismatched' | 'absent';
+  readonly notRun: 'shed' | 'draining' | 'cancelled' | undefined;
+  readonly drain: 'leaving' | undefined;
+  readonly load: number | undefined;
+}
+
+/** Collects one answer and checks that it is complete and belongs to its request. */
+export class AnswerReader {
+  private status = 0;
+
+  private readonly fields = new Map<string, string | readonly string[]>();
+
+  private chunks: Buffer[] = [];
+
+  private receivedBytes = 0;
+
+  private readonly hash: crypto.Hash | undefined;
+
+  /** @param options - Request that the answer belongs to. */
+  constructor(private readonly options: AnswerReaderOptions) {
+    this.hash = options.contract?.answerDigest === 'sent' ? crypto.createHash('sha256') : undefined;
+  }
+
+  /**
+   * Takes the head of the answer.
+   * @param status - Status code.
+   * @param fields - Header fields by lower-case name.
+   */
+  readHead(status: number, fields: Readonly<Record<string, string | string[] | undefined>>): void {
+    this.status = status;
+    Object.entries(fields).forEach(([name, value]) => {
+      if (value !== undefined) this.fields.set(name.toLowerCase(), value);
+    });
+  }
+
+  /** Whether a head was received. */
+  hasHead(): boolean {
+    return this.status !== 0;
+  }
+
+  /**
+   * Takes a part of the body. The result tells whether the parts that are kept still fit the buffer.
+   * @param chunk - Part of the body.
+   */
+  readData(chunk: Buffer): 'buffered' | 'overflowed' {
+    this.hash?.update(chunk);
+    this.receivedBytes += chunk.length;
+    this.chunks.push(chunk);
+    return this.receivedBytes > this.options.bufferBytes ? 'overflowed' : 'buffered';
+  }
+
+  /** Takes the parts of the body that were collected, for a streamed answer. */
+  takeChunks(): readonly Buffer[] {
+    const taken = this.chunks;
+    this.chunks = [];
+    return taken;
+  }
+
+  /** Whether the answer, which has ended, is whole by its framing and its digest. */
+  isComplete(): boolean {
+    return this.hasHead() && this.isFramed() && this.isDigestMatched();
+  }
+
+  /** Gets what the head declares. */
+  getDeclarations(): AnswerDeclarations {
+    const { contract, requestId } = this.options;
+    const echoed = this.getField('tamarack-request-id');
+    const declared = contract?.notRunAnswers === 'declared' ? this.getField('tamarack-not-run') : undefined;
+    const load = this.getField('tamarack-load');
+    const missingEcho = contract?.requestIdEcho === 'echoed' ? 'mismatched' : 'absent';
+    const comparedEcho = echoed === requestId ? 'matched' : 'mismatched';
+    return {
+      echo: echoed === undefined || contract?.requestIdEcho !== 'echoed' ? missingEcho : comparedEcho,
+      notRun: NOT_RUN_DECLARATIONS.find((declaration) => declaration === declared),
+      drain: this.getField('tamarack-drain') === 'leaving' ? 'leaving' : undefined,
+      load: load !== undefined && /^\d{1,6}$/.test(load) ? Number(load) : undefined,
+    };
+  }
+
+  /** Builds the answer for the caller, without the headers that are meant for this VM. */
+  buildAnswer(): core.contracts.UpstreamAnswer {
+    return { status: this.status, headers: links.HeaderFilter.listAnswerHeaders(this.fields), body: Buffer.concat(this.chunks) };
+  }
+
+  /** Gets the length that the answer declares, or undefined. */
+  getDeclaredLength(): string | undefined {
+    return this.getField('content-length');
+  }
+
+  private getField(name: string): string | undefined {
+    const value = this.fields.get(name);
+    return typeof value === 'string' ? value : value?.[0];
+  }
+
+  // An answer that ends with its connection cannot be told from one that broke off, unless its digest shows it.
+  private isFramed(): boolean {
+    return this.hash !== undefined
+      || this.options.method === 'HEAD'
+      || this.status === 204
+      || this.status === 304
+      || this.fields.has('content-length')
+      || this.getField('transfer-encoding')?.toLowerCase().includes('chunked') === true;
+  }
+
+  private isDigestMatched(): boolean {
+    if (this.hash === undefined || this.options.method === 'HEAD' || this.status === 204 || this.status === 304) return true;
+    const declared = DIGEST_PATTERN.exec(this.getField('content-digest') ?? '')?.[1];
+    return declared !== undefined && declared === this.hash.digest('base64');
+  }
+}
--- /dev/null
+++ b/packages/entry/src/upstreams/AttemptExchange.ts
@@ -0,0 +1,94 @@
+import type * as core from '@tamarackferry/core';
+
+import type * as listenerMessage from '../callers/ListenerMessage.js';
+import * as exchange from './Exchange.js';
+
+/** Options of an `AttemptExchange`. */
+export interface AttemptExchangeOptions extends exchange.ExchangeOptions {
+  readonly attempt: Extract<core.vms.VmOutput, { type: 'send-attempt' }>;
+  readonly vm: core.tasks.Mailbox<core.vms.VmInput>;
+  /** Receives streamed answers. */
+  readonly listener: core.tasks.Mailbox<listenerMessage.ListenerMessage>;
+  /** Called once with the result. A cancelled attempt still has to be confirmed by the instance. */
+  readonly onEnd: (result: core.upstreams.AttemptResult) => void;
+}
+
+/** Exchange of one attempt at a caller's request. */
+export class AttemptExchange extends exchange.Exchange {
+  private delivery: 'buffering' | 'deciding' | 'streaming' = 'buffering';
+
+  /** @param attemptOptions - Attempt with its connections and receivers. */
+  constructor(private readonly attemptOptions: AttemptExchangeOptions) {
+    super(attemptOptions);
+  }
+
+  /** Streams the answer, which exceeds the buffer, to the caller. */
+  stream(): void {
+    if (this.delivery !== 'deciding') return;
+    this.delivery = 'streaming';
+    const { attempt, listener } = this.attemptOptions;
+    const { status, headers } = this.reader.buildAnswer();
+    const length = this.reader.getDeclaredLength();
+    listener.post({
+      type: 'stream-started',
+      requestId: attempt.requestId,
+      attemptId: attempt.attemptId,
+      status,
+      headers: length === undefined ? headers : [...headers, ['content-length', length]],
+    });
+    this.sendChunks();
+  }
+
+  /** Reads on, after the caller took what it was sent. */
+  resume(): void {
+    if (this.delivery === 'streaming') this.controller?.resume();
+  }
+
+  /** Ends a streamed attempt whose caller has gone. */
+  closeStream(): void {
+    if (this.delivery === 'streaming') this.end('truncated');
+  }
+
+  protected override handleData(chunk: Buffer): void {
+    const fit = this.reader.readData(chunk);
+    if (this.delivery === 'streaming') this.sendChunks();
+    else if (this.delivery === 'buffering' && fit === 'overflowed') this.handleOverflow();
+  }
+
+  protected override handleOverflow(): void {
+    this.delivery = 'deciding';
+    this.controller?.pause();
+    const { echo } = this.reader.getDeclarations();
+    this.attemptOptions.vm.post({ type: 'attempt-overflowed', attemptId: this.attemptOptions.attempt.attemptId, echo });
+  }
+
+  protected override complete(ending: exchange.ExchangeEnding): void {
+    const { attempt, listener, onEnd } = this.attemptOptions;
+    if (this.delivery === 'streaming') {
+      listener.post({ type: ending === 'complete' ? 'stream-ended' : 'stream-aborted', requestId: attempt.requestId });
+      onEnd({ type: ending === 'complete' ? 'streamed' : 'stream-broken' });
+      return;
+    }
+    onEnd(this.buildResult(ending));
+  }
+
+  private buildResult(ending: exchange.ExchangeEnding): core.upstreams.AttemptResult {
+    switch (ending) {
+      case 'complete':
+        return { type: 'answered', answer: this.reader.buildAnswer(), ...this.reader.getDeclarations() };
+      case 'overdue':
+        return { type: 'timed-out' };
+      case 'cancelled':
+        return { type: 'cancelled', confirmation: 'silent' };
+      default:
+        return { type: ending };
+    }
+  }
+
+  private sendChunks(): void {
+    this.controller?.pause();
+    this.attemptOptions.listener.post({
+      type: 'stream-data', requestId: this.attemptOptions.attempt.requestId, data: Buffer.concat(this.reader.takeChunks()),
+    });
+  }
+}
--- /dev/null
+++ b/packages/entry/src/upstreams/ConnectionPool.ts
@@ -0,0 +1,67 @@
+import * as upstreamConnection from './UpstreamConnection.js';
+
+/** Options of a `ConnectionPool`. */
+export interface ConnectionPoolOptions {
+  /** Origin of the instance. */
+  readonly origin: string;
+  readonly connectTimeoutMs: number;
+  readonly idleTimeoutMs: number;
+}
+
+/** Connections of this VM to one instance. */
+export class ConnectionPool {
+  private readonly connections = new Set<upstreamConnection.UpstreamConnection>();
+
+  // The most recently used connection is reused first, so that surplus ones reach their idle time-out.
+  private readonly idle: upstreamConnection.UpstreamConnection[] = [];
+
+  /** @param options - Instance that the pool connects to. */
+  constructor(private readonly options: ConnectionPoolOptions) {}
+
+  /** Counts the open connections. */
+  countConnections(): number {
+    return this.connections.size;
+  }
+
+  /**
+   * Takes an idle connection or opens one. Undefined if the limit is reached.
+   * @param limit - Greatest number of connections to the instance.
+   */
+  acquire(limit: number): upstreamConnection.UpstreamConnection | undefined {
+    const reused = this.idle.pop();
+    if (reused !== undefined) return reused;
+    if (this.connections.size >= limit) return undefined;
+    const opened = new upstreamConnection.UpstreamConnection({ ...this.options, onIdleClose: (connection) => this.remove(connection) });
+    this.connections.add(opened);
+    return opened;
+  }
+
+  /**
+   * Gives a connection back.
+   * @param connection - Connection that `acquire` gave.
+   * @param condition - `spent` closes the connection, since a late answer may still arrive on it.
+   */
+  release(connection: upstreamConnection.UpstreamConnection, condition: 'reusable' | 'spent'): void {
+    if (condition === 'spent' || !this.connections.has(connection)) {
+      this.remove(connection);
+      return;
+    }
+    connection.release();
+    this.idle.push(connection);
+  }
+
+  /** Closes all connections. */
+  async close(): Promise<void> {
+    const open = [...this.connections];
+    this.connections.clear();
+    this.idle.length = 0;
+    await Promise.all(open.map((connection) => connection.close()));
+  }
+
+  private remove(connection: upstreamConnection.UpstreamConnection): void {
+    this.connections.delete(connection);
+    const position = this.idle.indexOf(connection);
+    if (position >= 0) this.idle.splice(position, 1);
+    void connection.close();
+  }
+}
--- /dev/null
+++ b/packages/entry/src/upstreams/Exchange.ts
@@ -0,0 +1,131 @@
+import type * as core from '@tamarackferry/core';
+import * as undici from 'undici';
+
+import type * as answerReader from './AnswerReader.js';
+import type * as connectionMessage from './ConnectionMessage.js';
+import type * as connectionPool from './ConnectionPool.js';
+import type * as upstreamConnection from './UpstreamConnection.js';
+
+/**
+ * How an exchange ended.
+ * - `complete`: whole answer.
+ * - `refused`: no byte of the request was written.
+ * - `reset`: the connection closed before the head of an answer.
+ * - `truncated`: the answer broke off or failed a check.
+ * - `overdue`: no whole answer in time.
+ * - `cancelled`: withdrawn by this side after bytes were written.
+ */
+export type ExchangeEnding = 'complete' | 'refused' | 'reset' | 'truncated' | 'overdue' | 'cancelled';
+
+/** Options of an `Exchange`. */
+export interface ExchangeOptions {
+  readonly exchangeId: string;
+  readonly pool: connectionPool.ConnectionPool;
+  /** Greatest number of connections to the instance. */
+  readonly connectionLimit: number;
+  readonly request: undici.Dispatcher.DispatchOptions;
+  readonly reader: answerReader.AnswerReader;
+  readonly timeoutMs: number;
+  readonly timers: core.time.TimerService;
+  /** Task that owns the exchange and gets its time-out. */
+  readonly owner: core.tasks.Mailbox<connectionMessage.ConnectionMessage>;
+}
+
+/** One request to an instance and its answer. Ends exactly once. */
+export abstract class Exchange {
+  protected readonly reader: answerReader.AnswerReader;
+
+  protected controller: undici.Dispatcher.DispatchController | undefined;
+
+  private connection: upstreamConnection.UpstreamConnection | undefined;
+
+  private overdue: core.time.TimerSubscription | undefined;
+
+  private state: 'open' | 'ended' = 'open';
+
+  /** @param options - Request and connections of the exchange. */
+  constructor(private readonly options: ExchangeOptions) {
+    this.reader = options.reader;
+  }
+
+  /** Sends the request. */
+  send(): void {
+    const { options } = this;
+    this.connection = options.pool.acquire(options.connectionLimit);
+    if (this.connection === undefined) {
+      this.end('refused');
+      return;
+    }
+    this.overdue = options.timers.subscribe({
+      mailbox: options.owner, message: { type: 'exchange-overdue', exchangeId: options.exchangeId }, delayMs: Math.max(0, options.timeoutMs),
+    });
+    this.connection.dispatch(options.request, {
+      onRequestStart: (controller) => this.handleStart(controller),
+      onResponseStart: (_, status, fields) => {
+        if (status >= 200) this.reader.readHead(status, fields);
+      },
+      onResponseData: (_, chunk) => {
+        if (this.state === 'open') this.handleData(chunk);
+      },
+      onResponseEnd: () => this.end(this.reader.isComplete() ? 'complete' : 'truncated'),
+      onResponseError: () => this.end(this.computeFailure()),
+    });
+  }
+
+  /** Ends the exchange because its time is over. */
+  expire(): void {
+    this.end(this.controller === undefined ? 'refused' : 'overdue');
+  }
+
+  /** Withdraws the exchange. */
+  cancel(): void {
+    this.end(this.controller === undefined ? 'refused' : 'cancelled');
+  }
+
+  /**
+   * Reports the end of the exchange. Called once.
+   * @param ending - How the exchange ended.
+   */
+  protected abstract complete(ending: ExchangeEnding): void;
+
+  /** Decides about an answer that exceeds the buffer. */
+  protected handleOverflow(): void {
+    this.end('truncated');
+  }
+
+  /**
+   * Takes a part of the body.
+   * @param chunk - Part of the body.
+   */
+  protected handleData(chunk: Buffer): void {
+    if (this.reader.readData(chunk) === 'overflowed') this.handleOverflow();
+  }
+
+  /**
+   * Ends the exchange and gives its connection back. Without effect after the first call.
+   * @param ending - How the exchange ended.
+   */
+  protected end(ending: ExchangeEnding): void {
+    if (this.state === 'ended') return;
+    this.state = 'ended';
+    this.overdue?.cancel();
+    const reusable = ending === 'complete' && this.reader.getDeclarations().echo !== 'mismatched';
+    if (this.connection !== undefined) this.options.pool.release(this.connection, reusable ? 'reusable' : 'spent');
+    this.complete(ending);
+  }
+
+  private handleStart(controller: undici.Dispatcher.DispatchController): void {
+    if (this.controller === undefined) {
+      this.controller = controller;
+      return;
+    }
+    // undici sends a request again on some connection errors, which would run an operation twice.
+    controller.abort(new undici.errors.RequestAbortedError());
+    this.end('reset');
+  }
+
+  private computeFailure(): ExchangeEnding {
+    if (this.controller === undefined) return 'refused';
+    return this.reader.hasHead() ? 'truncated' : 'reset';
+  }
+}
--- /dev/null
+++ b/packages/entry/src/upstreams/ProbeExchange.ts
@@ -0,0 +1,33 @@
+import type * as core from '@tamarackferry/core';
+
+import * as exchange from './Exchange.js';
+
+/** Options of a `ProbeExchange`. */
+export interface ProbeExchangeOptions extends exchange.ExchangeOptions {
+  /** Called once with the result. */
+  readonly onEnd: (result: core.upstreams.ProbeResult) => void;
+}
+
+/** Probe of the health endpoint of an instance. */
+export class ProbeExchange extends exchange.Exchange {
+  private readonly startedAtMs: number;
+
+  /** @param probeOptions - Request and receiver of the result. */
+  constructor(private readonly probeOptions: ProbeExchangeOptions) {
+    super(probeOptions);
+    this.startedAtMs = probeOptions.timers.getNowMs();
+  }
+
+  protected override complete(ending: exchange.ExchangeEnding): void {
+    this.probeOptions.onEnd(this.buildResult(ending));
+  }
+
+  private buildResult(ending: exchange.ExchangeEnding): core.upstreams.ProbeResult {
+    if (ending !== 'complete') return { type: 'failed' };
+    const { drain, load } = this.reader.getDeclarations();
+    if (drain === 'leaving') return { type: 'draining' };
+    const { status } = this.reader.buildAnswer();
+    if (status < 200 || status > 299) return { type: 'unhealthy' };
+    return { type: 'healthy', latencyMs: this.probeOptions.timers.getNowMs() - this.startedAtMs, load };
+  }
+}
--- /dev/null
+++ b/packages/entry/src/upstreams/UpstreamConnection.ts
@@ -0,0 +1,57 @@
+import * as undici from 'undici';
+
+/** Options of an `UpstreamConnection`. */
+export interface UpstreamConnectionOptions {
+  /** Origin of the instance, for example `http://10.0.0.1:8080`. */
+  readonly origin: string;
+  readonly connectTimeoutMs: number;
+  /** Time after which an idle connection is closed. */
+  readonly idleTimeoutMs: number;
+  /** Called when the instance closes the connection while it is idle. */
+  readonly onIdleClose: (connection: UpstreamConnection) => void;
+}
+
+/** One connection to an instance, which carries at most one request at a time. */
+export class UpstreamConnection {
+  private readonly client: undici.Client;
+
+  private state: 'idle' | 'busy' | 'closed' = 'idle';
+
+  /** @param options - Origin and times of the connection. */
+  constructor(options: UpstreamConnectionOptions) {
+    this.client = new undici.Client(options.origin, {
+      pipelining: 1,
+      connect: { timeout: options.connectTimeoutMs },
+      keepAliveTimeout: options.idleTimeoutMs,
+      keepAliveMaxTimeout: options.idleTimeoutMs,
+      // The exchange has its own deadline.
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+    this.client.on('disconnect', () => {
+      if (this.state === 'idle') options.onIdleClose(this);
+    });
+  }
+
+  /**
+   * Sends one request over the connection.
+   * @param request - Request to send.
+   * @param handler - Receives the answer.
+   */
+  dispatch(request: undici.Dispatcher.DispatchOptions, handler: undici.Dispatcher.DispatchHandler): void {
+    this.state = 'busy';
+    this.client.dispatch(request, handler);
+  }
+
+  /** Marks the connection as free for the next request. */
+  release(): void {
+    if (this.state === 'busy') this.state = 'idle';
+  }
+
+  /** Closes the connection at once. */
+  close(): Promise<void> {
+    if (this.state === 'closed') return Promise.resolve();
+    this.state = 'closed';
+    return this.client.destroy().catch(() => undefined);
+  }
+}
--- a/packages/entry/src/upstreams/UpstreamConnections.ts
+++ b/packages/entry/src/upstreams/UpstreamConnections.ts
@@ -1,90 +1,196 @@
 import * as core from '@tamarackferry/core';
-import * as undici from 'undici';
+import type * as undici from 'undici';
 
+import type * as listenerMessage from '../callers/ListenerMessage.js';
+import * as answerReader from './AnswerReader.js';
+import * as attemptExchange from './AttemptExchange.js';
+import * as cancelExchange from './CancelExchange.js';
 import type * as connectionMessage from './ConnectionMessage.js';
+import * as connectionPool from './ConnectionPool.js';
+import type * as exchange from './Exchange.js';
+import * as probeExchange from './ProbeExchange.js';
+
+const CONNECT_TIMEOUT_MS = 2_000;
+const CANCEL_TIMEOUT_MS = 1_000;
+// Below the 5 s after which Node.js servers close idle connections by default; a request that meets the close would be unknown.
+const IDLE_TIMEOUT_MS = 4_000;
+const SMALL_ANSWER_BYTES = 64 * 1024;
+const PROBE_CONNECTIONS = 100_000;
+const DEFAULT_BUFFER_BYTES = 1024 * 1024;
 
 /** Options of `UpstreamConnections`. */
 export interface UpstreamConnectionsOptions {
   readonly scheduler: core.tasks.TaskScheduler;
+  readonly timers: core.time.TimerService;
   readonly vm: core.tasks.Mailbox<core.vms.VmInput>;
+  /** Receives streamed answers. */
+  readonly listener: core.tasks.Mailbox<listenerMessage.ListenerMessage>;
+  /** Greatest answer that is held back until it is complete; 1 MiB if not given. */
+  readonly bufferBytes?: number;
 }
 
-/** Owns the connections to upstream instances and sends attempts over them. */
+type Attempt = Extract<connectionMessage.ConnectionMessage, { type: 'send-attempt' }>;
+type Probe = Extract<connectionMessage.ConnectionMessage, { type: 'send-probe' }>;
+
+/** Owns the connections to upstream instances and sends attempts and probes over them. */
 export class UpstreamConnections extends core.tasks.Task<connectionMessage.ConnectionMessage> {
-  private readonly pools = new Map<string, undici.Pool>();
+  private readonly pools = new Map<string, connectionPool.ConnectionPool>();
 
-  private readonly aborts = new Map<string, AbortController>();
+  private readonly exchanges = new Map<string, exchange.Exchange>();
 
-  /** @param options - Scheduler and the VM that gets the results. */
+  private nextExchange = 0;
+
+  /** @param options - Scheduler and the tasks that get the results. */
   constructor(private readonly options: UpstreamConnectionsOptions) {
     super(options.scheduler);
   }
 
   /** Closes all connections. */
   async close(): Promise<void> {
-    await Promise.all([...this.pools.values()].map((pool) => pool.destroy()));
+    await Promise.all([...this.pools.values()].map((pool) => pool.close()));
   }
 
   /** @internal */
   override handle(message: connectionMessage.ConnectionMessage): void {
     switch (message.type) {
       case 'send-attempt':
-        this.sendAttempt(message).then(
-          (result) => this.endAttempt(message.attemptId, result),
-          () => this.endAttempt(message.attemptId, { type: 'reset' }),
-        );
+        this.sendAttempt(message);
         break;
       case 'cancel-attempt':
-        this.aborts.get(message.attemptId)?.abort();
+        this.exchanges.get(message.attemptId)?.cancel();
+        break;
+      case 'stream-attempt':
+        this.findAttempt(message.attemptId)?.stream();
         break;
-      default:
+      case 'stream-ready':
+        this.findAttempt(message.attemptId)?.resume();
         break;
+      case 'stream-closed':
+        this.findAttempt(message.attemptId)?.closeStream();
+        break;
+      case 'send-probe':
+        this.sendProbe(message);
+        break;
+      case 'exchange-overdue':
+        this.exchanges.get(message.exchangeId)?.expire();
+        break;
+      // no default
     }
   }
 
-  private endAttempt(attemptId: string, result: core.upstreams.AttemptResult): void {
-    this.aborts.delete(attemptId);
-    this.options.vm.post({ type: 'attempt-ended', attemptId, result });
+  private findAttempt(attemptId: string): attemptExchange.AttemptExchange | undefined {
+    const found = this.exchanges.get(attemptId);
+    return found instanceof attemptExchange.AttemptExchange ? found : undefined;
   }
 
-  private async sendAttempt(attempt: Extract<connectionMessage.ConnectionMessage, { type: 'send-attempt' }>): Promise<core.upstreams.AttemptResult> {
-    const abort = new AbortController();
-    this.aborts.set(attempt.attemptId, abort);
-    const { request } = attempt;
-    const response = await this.getPool(attempt.instance).request({
-      method: request.method as undici.Dispatcher.HttpMethod,
-      path: request.path,
-      headers: {
-        ...Object.fromEntries(request.headers),
-        'tamarack-request-id': attempt.attemptId,
-        'tamarack-deadline-ms': String(Math.floor(attempt.timeoutMs)),
+  private sendAttempt(attempt: Attempt): void {
+    const { request, contract, attemptId } = attempt;
+    const started = new attemptExchange.AttemptExchange({
+      ...this.buildSurroundings(attemptId, attempt.instance, contract.connectionsPerInstance),
+      timeoutMs: attempt.timeoutMs,
+      request: UpstreamConnections.buildRequest(attempt),
+      reader: new answerReader.AnswerReader({
+        method: request.method, requestId: attemptId, contract, bufferBytes: this.options.bufferBytes ?? DEFAULT_BUFFER_BYTES,
+      }),
+      attempt,
+      vm: this.options.vm,
+      listener: this.options.listener,
+      onEnd: (result) => {
+        this.exchanges.delete(attemptId);
+        if (result.type === 'cancelled') this.sendCancel(attempt);
+        else this.options.vm.post({ type: 'attempt-ended', attemptId, result });
       },
-      body: request.body.length > 0 ? request.body : null,
-      signal: abort.signal,
-      headersTimeout: attempt.timeoutMs,
-      bodyTimeout: attempt.timeoutMs,
     });
-    const body = new Uint8Array(await response.body.arrayBuffer());
-    return {
-      type: 'answered',
-      answer: {
-        status: response.statusCode,
-        headers: Object.entries(response.headers).map(([name, value]) => [name, Array.isArray(value) ? value.join(', ') : value ?? ''] as const),
-        body,
+    this.exchanges.set(attemptId, started);
+    started.send();
+  }
+
+  private sendCancel(attempt: Attempt): void {
+    const { contract, attemptId } = attempt;
+    const exchangeId = this.buildExchangeId('cancel');
+    const started = new cancelExchange.CancelExchange({
+      // One connection above the limit of the contract, since the attempt's own connection was given up.
+      ...this.buildSurroundings(exchangeId, attempt.instance, contract.connectionsPerInstance + 1),
+      timeoutMs: CANCEL_TIMEOUT_MS,
+      request: { method: 'POST', path: '/cancel', headers: ['tamarack-request-id', attemptId] },
+      reader: new answerReader.AnswerReader({
+        method: 'POST',
+        requestId: attemptId,
+        contract: { ...contract, answerDigest: 'absent', requestIdEcho: 'absent' },
+        bufferBytes: SMALL_ANSWER_BYTES,
+      }),
+      onEnd: (confirmation) => {
+        this.exchanges.delete(exchangeId);
+        this.options.vm.post({ type: 'attempt-ended', attemptId, result: { type: 'cancelled', confirmation } });
+      },
+    });
+    this.exchanges.set(exchangeId, started);
+    started.send();
+  }
+
+  private sendProbe(probe: Probe): void {
+    const { instance } = probe;
+    const exchangeId = this.buildExchangeId('probe');
+    const started = new probeExchange.ProbeExchange({
+      ...this.buildSurroundings(exchangeId, instance, PROBE_CONNECTIONS),
+      timeoutMs: probe.timeoutMs,
+      request: { method: 'GET', path: '/health' },
+      reader: new answerReader.AnswerReader({
+        method: 'GET', requestId: exchangeId, contract: undefined, bufferBytes: SMALL_ANSWER_BYTES,
+      }),
+      onEnd: (result) => {
+        this.exchanges.delete(exchangeId);
+        this.options.vm.post({
+          type: 'probe-ended', service: instance.service, instance: instance.name, result,
+        });
       },
-      echo: 'absent',
-      notRun: undefined,
-      drain: undefined,
-      load: undefined,
+    });
+    this.exchanges.set(exchangeId, started);
+    started.send();
+  }
+
+  private buildExchangeId(purpose: string): string {
+    this.nextExchange += 1;
+    return `${purpose}:${this.nextExchange}`;
+  }
+
+  private buildSurroundings(
+    exchangeId: string,
+    instance: core.upstreams.InstanceAddress,
+    connectionLimit: number,
+  ): Pick<exchange.ExchangeOptions, 'exchangeId' | 'pool' | 'connectionLimit' | 'timers' | 'owner'> {
+    return {
+      exchangeId, pool: this.getPool(instance), connectionLimit, timers: this.options.timers, owner: this,
     };
   }
 
-  private getPool(instance: core.upstreams.InstanceAddress): undici.Pool {
-    const origin = `http://${instance.host}:${instance.port}`;
+  private static buildRequest(attempt: Attempt): undici.Dispatcher.DispatchOptions {
+    const { request, attemptId, timeoutMs } = attempt;
+    const own: (readonly [string, string])[] = [
+      ['tamarack-request-id', attemptId],
+      ['tamarack-deadline-ms', String(Math.max(0, Math.floor(timeoutMs)))],
+    ];
+    if (request.operationId !== undefined) own.push(['tamarack-operation-id', request.operationId]);
+    return {
+      method: request.method as undici.Dispatcher.HttpMethod,
+      path: request.path,
+      headers: [...request.headers, ...own].flatMap(([name, value]) => [name, value]),
+      body: request.body.length > 0 ? Buffer.from(request.body) : null,
+    };
+  }
+
+  private getPool(instance: core.upstreams.InstanceAddress): connectionPool.ConnectionPool {
+    const origin = `http://${instance.host.includes(':') ? `[${instance.host}]` : instance.host}:${instance.port}`;
     const known = this.pools.get(origin);
     if (known !== undefined) return known;
-    const pool = new undici.Pool(origin, { pipelining: 1 });
+    // Pools of instances that were replaced hold no connection any more.
+    if (this.pools.size >= 1_024) this.prunePools();
+    const pool = new connectionPool.ConnectionPool({ origin, connectTimeoutMs: CONNECT_TIMEOUT_MS, idleTimeoutMs: IDLE_TIMEOUT_MS });
     this.pools.set(origin, pool);
     return pool;
   }
+
+  private prunePools(): void {
+    [...this.pools].filter(([, pool]) => pool.countConnections() === 0).forEach(([origin]) => this.pools.delete(origin));
+  }
 }
--- a/packages/entry/src/vms/EntryProcess.ts
+++ b/packages/entry/src/vms/EntryProcess.ts
@@ -1,50 +1,148 @@
 import * as crypto from 'node:crypto';
 import * as core from '@tamarackferry/core';
+import * as neverthrow from 'neverthrow';
 
 import * as callers from '../callers/index.js';
+import * as links from '../links/index.js';
+import * as metrics from '../metrics/index.js';
 import * as platform from '../platform/index.js';
 import * as time from '../time/index.js';
 import * as upstreams from '../upstreams/index.js';
-import type * as entrySettings from './EntrySettings.js';
+import * as entrySettings from './EntrySettings.js';
+import * as processLog from './ProcessLog.js';
 
 const INCARNATION_LENGTH = 12;
 
+/** Reason why a process does not start. */
+export interface StartFailure {
+  readonly type: 'port-unavailable';
+  readonly port: number;
+  readonly detail: string;
+}
+
+interface ProcessParts {
+  readonly listener: callers.CallerListener;
+  readonly connections: upstreams.UpstreamConnections;
+  readonly watcher: platform.PlatformWatcher;
+  readonly peerServer: links.PeerServer;
+  readonly peerConnections: links.PeerConnections;
+  readonly flusher: metrics.MetricsFlusher | undefined;
+  readonly log: processLog.ProcessLog;
+}
+
 /** One running entry process: the decisions of a VM with the tasks that own its sockets. */
 export class EntryProcess {
-  private constructor(
-    private readonly listener: callers.CallerListener,
-    private readonly connections: upstreams.UpstreamConnections,
-    private readonly watcher: platform.PlatformWatcher,
-    private readonly vm: core.vms.Vm,
-    /** Port that callers connect to. */
-    readonly port: number,
-  ) {}
+  /** Port that callers connect to. */
+  port = 0;
+
+  /** Port that peers connect to. */
+  peerPort = 0;
+
+  private vm: core.vms.Vm | undefined;
+
+  private readonly parts: ProcessParts;
+
+  private readonly timers = new time.SystemTimerService();
+
+  private readonly random = new core.randomness.SeededRandomSource(crypto.randomInt(2 ** 31));
+
+  private readonly ended: Promise<void>;
+
+  private notifyEnded: () => void = () => undefined;
+
+  private constructor(private readonly settings: entrySettings.EntrySettings) {
+    this.ended = new Promise((resolve) => {
+      this.notifyEnded = resolve;
+    });
+    this.parts = this.buildParts();
+  }
 
   /**
    * Starts the process with checked settings.
    * @param settings - Settings of the process.
    */
-  static async start(settings: entrySettings.EntrySettings): Promise<EntryProcess> {
+  static async start(settings: entrySettings.EntrySettings): Promise<neverthrow.Result<EntryProcess, StartFailure>> {
+    const started = new EntryProcess(settings);
+    const { listener, peerServer } = started.parts;
+    const peerPort = await peerServer.listen();
+    const port = await listener.listen();
+    if (port.isErr() || peerPort.isErr()) {
+      await started.close();
+      return port.isErr()
+        ? neverthrow.err({ type: 'port-unavailable', port: settings.port, detail: port.error })
+        : neverthrow.err({ type: 'port-unavailable', port: settings.peerPort, detail: peerPort.isErr() ? peerPort.error : '' });
+    }
+    started.port = port.value;
+    started.peerPort = peerPort.value;
+    started.startVm();
+    return neverthrow.ok(started);
+  }
+
+  /** Begins a graceful shutdown. */
+  stop(): void {
+    this.parts.log.write('info', 'vm', 'a graceful shutdown begins');
+    this.parts.listener.post({ type: 'stop' });
+    this.vm?.post({ type: 'stop' });
+  }
+
+  /** Resolves after a graceful shutdown, when all sockets are closed. */
+  waitForEnd(): Promise<void> {
+    return this.ended;
+  }
+
+  /** Answers all open requests, then closes all sockets. */
+  async close(): Promise<void> {
+    const {
+      listener, connections, watcher, peerServer, peerConnections, flusher,
+    } = this.parts;
+    await listener.close();
+    await Promise.all([connections.close(), watcher.close(), peerServer.close(), peerConnections.close(), flusher?.close()]);
+    this.notifyEnded();
+  }
+
+  private buildParts(): ProcessParts {
+    const { settings, timers, random } = this;
+    const { host, port, peerPort } = settings;
     const scheduler = new core.tasks.TaskScheduler();
-    const timers = new time.SystemTimerService();
-    const random = new core.randomness.SeededRandomSource(crypto.randomInt(2 ** 31));
-    let vm: core.vms.Vm | undefined;
-    const inbox: core.tasks.Mailbox<core.vms.VmInput> = { post: (input) => vm?.post(input) };
+    const log = new processLog.ProcessLog();
+    const limits = settings.limits ?? entrySettings.DEFAULT_LIMITS;
+    const vm: core.tasks.Mailbox<core.vms.VmInput> = { post: (input) => this.vm?.post(input) };
     const listener = new callers.CallerListener({
-      host: settings.host, port: settings.port, scheduler, random, vm: inbox,
+      host, port, limits, scheduler, random, vm, connections: { post: (message) => this.parts.connections.post(message) },
     });
-    const connections = new upstreams.UpstreamConnections({ scheduler, vm: inbox });
-    const watcher = new platform.PlatformWatcher({
-      url: settings.platformUrl, scheduler, timers, vm: inbox,
-    });
-    const port = await listener.listen();
-    vm = new core.vms.Vm({
+    return {
+      listener,
+      connections: new upstreams.UpstreamConnections({
+        scheduler, timers, vm, listener, bufferBytes: limits.bufferBytes,
+      }),
+      watcher: new platform.PlatformWatcher({
+        source: new platform.HttpPlatformSource(settings.platformUrl),
+        scheduler,
+        timers,
+        random,
+        vm,
+        onChange: (text) => log.write('warn', 'platform', text),
+      }),
+      peerServer: new links.PeerServer({ host, port: peerPort, vm }),
+      peerConnections: new links.PeerConnections({
+        scheduler, timers, transport: new links.TrpcPeerTransport(), vm,
+      }),
+      flusher: settings.metrics === undefined ? undefined : new metrics.MetricsFlusher({
+        ...settings.metrics, scheduler, onError: (text) => log.write('warn', 'metrics', text),
+      }),
+      log,
+    };
+  }
+
+  private startVm(): void {
+    const { settings, timers, random } = this;
+    this.vm = new core.vms.Vm({
       identity: {
         name: settings.name,
         incarnation: random.drawToken(INCARNATION_LENGTH),
-        host: settings.host,
-        port,
-        peerPort: settings.peerPort,
+        host: settings.advertisedHost ?? settings.host,
+        port: settings.advertisedPort ?? this.port,
+        peerPort: settings.advertisedPeerPort ?? this.peerPort,
         place: settings.place,
       },
       deployment: settings.deployment,
@@ -53,50 +151,48 @@
       codec: new core.contracts.TomlDocumentCodec(
         crypto.createPublicKey({ key: Buffer.from(settings.documentPublicKey, 'base64'), format: 'der', type: 'spki' }),
       ),
-      outbox: { post: (output) => EntryProcess.deliver(output, listener, connections, watcher) },
+      outbox: { post: (output) => this.deliver(output) },
       addressValidityMs: settings.addressValidityMs,
       seedPeers: settings.seedPeers,
     });
-    watcher.start();
-    return new EntryProcess(listener, connections, watcher, vm, port);
+    this.parts.watcher.start();
   }
 
-  /** Begins a graceful shutdown. */
-  stop(): void {
-    this.vm.post({ type: 'stop' });
-  }
-
-  /** Closes all sockets at once. */
-  async close(): Promise<void> {
-    this.watcher.stop();
-    await this.listener.close();
-    await this.connections.close();
-  }
-
-  private static deliver(
-    output: core.vms.VmOutput,
-    listener: callers.CallerListener,
-    connections: upstreams.UpstreamConnections,
-    watcher: platform.PlatformWatcher,
-  ): void {
+  private deliver(output: core.vms.VmOutput): void {
+    const { parts } = this;
     switch (output.type) {
       case 'caller-answer':
       case 'address-answer':
       case 'status-answer':
       case 'evidence-answer':
-        listener.post(output);
+        parts.listener.post(output);
+        break;
+      case 'document-accepted':
+        parts.listener.post(output);
+        parts.log.write('info', 'contracts', `document version ${output.reference.version} is in force`);
         break;
       case 'send-attempt':
       case 'cancel-attempt':
       case 'stream-attempt':
       case 'send-probe':
-        connections.post(output);
+        parts.connections.post(output);
+        break;
+      case 'send-peer':
+        parts.peerConnections.post(output);
         break;
       case 'platform-mode':
-        watcher.post(output);
+        parts.watcher.post(output);
+        break;
+      case 'evidence-flush':
+        parts.flusher?.post(output);
+        break;
+      case 'log':
+        parts.log.write(output.level, output.prefix, output.text);
         break;
-      default:
+      case 'stopped':
+        void this.close();
         break;
+      // no default
     }
   }
 }
--- a/packages/entry/test/vms/EntryProcess.test.ts
+++ b/packages/entry/test/vms/EntryProcess.test.ts
@@ -42,7 +42,7 @@
     platform.publishList([{
       role: 'upstream', name: 'orders-1', service: 'orders', incarnation: 'i1', host: '127.0.0.1', port: upstreamPort, place: 'a', state: 'live',
     }]);
-    const process = await entry.vms.EntryProcess.start({
+    const process = (await entry.vms.EntryProcess.start({
       name: 'vm-1',
       deployment: 'test',
       place: 'a',
@@ -53,7 +53,7 @@
       documentPublicKey: KEYS.publicKey.export({ format: 'der', type: 'spki' }).toString('base64'),
       addressValidityMs: 1_000,
       seedPeers: [],
-    });
+    }))._unsafeUnwrap();
     const url = `http://127.0.0.1:${process.port}`;
     await vitest.vi.waitFor(async () => {
       const addresses = await undici.request(`${url}/-/addresses?service=orders`);
