Write nothing of an exchange after it ended as refused

Cause: an exchange that expired while its connection opened was reported as not sent, but undici could still start it. Change: the start of an ended exchange is aborted. Measured: all tests pass; the window was found by reading, no run showed it. Conclusion: refused keeps its meaning that no byte was written.

--- a/packages/entry/src/links/PeerConnections.ts
+++ b/packages/entry/src/links/PeerConnections.ts
@@ -6,7 +6,8 @@
 const MAX_QUEUED = 256;
 
 /** Message to the `PeerConnections`. */
-export type PeerConnectionMessage = | Extract<core.vms.VmOutput, { type: 'send-peer' }>
+export type PeerConnectionMessage =
+  | Extract<core.vms.VmOutput, { type: 'send-peer' }>
   | { readonly type: 'delivery-overdue'; readonly to: string }
   | { readonly type: 'delivery-ended'; readonly to: string; readonly result: 'reached' | 'unreached' };
 
--- a/packages/entry/src/upstreams/Exchange.ts
+++ b/packages/entry/src/upstreams/Exchange.ts
@@ -115,6 +115,11 @@
   }
 
   private handleStart(controller: undici.Dispatcher.DispatchController): void {
+    // An exchange that ended as refused was reported as not sent, so nothing of it may be written now.
+    if (this.state === 'ended') {
+      controller.abort(new undici.errors.RequestAbortedError());
+      return;
+    }
     if (this.controller === undefined) {
       this.controller = controller;
       return;
