--- a/packages/core/src/callers/CallerRules.ts
+++ b/packages/core/src/callers/CallerRules.ts
@@ -1,2 +1,60 @@
+import type * as contracts from '../contracts/index.js';
+import type * as admissionPolicy from './AdmissionPolicy.js';
+import * as attemptInterpreter from './AttemptInterpreter.js';
+import * as deadlinePolicy from './DeadlinePolicy.js';
+import * as fairAdmissionPolicy from './FairAdmissionPolicy.js';
+import type * as hedgePolicy from './HedgePolicy.js';
+import * as idempotentRetryPolicy from './IdempotentRetryPolicy.js';
+import * as kindMatcher from './KindMatcher.js';
+import * as nonIdempotentRetryPolicy from './NonIdempotentRetryPolicy.js';
+import * as retryBudget from './RetryBudget.js';
+import type * as retryPolicy from './RetryPolicy.js';
+import * as tailHedgePolicy from './TailHedgePolicy.js';
+
+const MAX_WAITING_PER_SERVICE = 500;
+
 /** Creates the rules and policies that the tasks for callers decide by. A subclass replaces single rules. */
-export class CallerRules {}
+export class CallerRules {
+  /** Creates the rule for what the end of an attempt means. */
+  createInterpreter(): attemptInterpreter.AttemptInterpreter {
+    return new attemptInterpreter.AttemptInterpreter();
+  }
+
+  /**
+   * Creates the policy for further attempts.
+   * @param repeatability - Whether an upstream may run the request more than once.
+   */
+  createRetryPolicy(repeatability: contracts.RequestKind['repeatability']): retryPolicy.RetryPolicy {
+    return repeatability === 'idempotent'
+      ? new idempotentRetryPolicy.IdempotentRetryPolicy()
+      : new nonIdempotentRetryPolicy.NonIdempotentRetryPolicy();
+  }
+
+  /** Creates the bound on retries and hedges of one service. */
+  createRetryBudget(): retryBudget.RetryBudget {
+    return new retryBudget.RetryBudget();
+  }
+
+  /** Creates the policy for second attempts of slow requests. */
+  createHedgePolicy(): hedgePolicy.HedgePolicy {
+    return new tailHedgePolicy.TailHedgePolicy();
+  }
+
+  /** Creates the policy for the requests that wait for one service. */
+  createAdmissionPolicy(): admissionPolicy.AdmissionPolicy {
+    return new fairAdmissionPolicy.FairAdmissionPolicy(MAX_WAITING_PER_SERVICE);
+  }
+
+  /** Creates the rules for deadlines. */
+  createDeadlinePolicy(): deadlinePolicy.DeadlinePolicy {
+    return new deadlinePolicy.DeadlinePolicy();
+  }
+
+  /**
+   * Creates the matcher for the kinds of one service.
+   * @param kinds - Kinds that the service declares.
+   */
+  createKindMatcher(kinds: readonly contracts.RequestKind[]): kindMatcher.KindMatcher {
+    return new kindMatcher.KindMatcher(kinds);
+  }
+}
--- /dev/null
+++ b/packages/core/src/callers/IdempotentRetryPolicy.ts
@@ -0,0 +1,15 @@
+import type * as attemptVerdict from './AttemptVerdict.js';
+import * as retryPolicy from './RetryPolicy.js';
+
+const FIRST_SERVER_ERROR_STATUS = 500;
+
+/** For requests that an upstream may run more than once: everything but a good answer may be retried. */
+export class IdempotentRetryPolicy extends retryPolicy.RetryPolicy {
+  override canRetry(verdict: attemptVerdict.AttemptVerdict): boolean {
+    return verdict.type === 'answered' ? verdict.answer.status >= FIRST_SERVER_ERROR_STATUS : verdict.type !== 'streamed';
+  }
+
+  override canHedge(): boolean {
+    return true;
+  }
+}
--- /dev/null
+++ b/packages/core/src/callers/MemberQueue.ts
@@ -0,0 +1,97 @@
+import type * as contracts from '../contracts/index.js';
+import type * as requestInProgress from './RequestInProgress.js';
+
+// Interactive requests that go before each background request of the same member.
+const INTERACTIVE_PER_BACKGROUND = 4;
+
+/** Requests of one member that wait for a service, in two classes. */
+export class MemberQueue {
+  private readonly waiting: Record<contracts.RequestKind['priority'], Set<requestInProgress.RequestInProgress>> = {
+    interactive: new Set(), background: new Set(),
+  };
+
+  // Requests that were taken in vain go first.
+  private released: requestInProgress.RequestInProgress[] = [];
+
+  private interactiveRun = 0;
+
+  /** Credit of the deficit round robin; one request costs 1. */
+  deficit = 0;
+
+  /**
+   * @param member - Name of the member.
+   * @param share - Share of admission relative to the other members.
+   */
+  constructor(readonly member: string, public share: number) {}
+
+  /**
+   * Adds credit.
+   * @param credit - Number of requests that may be served for it.
+   */
+  addDeficit(credit: number): void {
+    this.deficit += credit;
+  }
+
+  /** Counts the requests that wait. */
+  count(): number {
+    return this.waiting.interactive.size + this.waiting.background.size + this.released.length;
+  }
+
+  /**
+   * Counts the requests that are served before a new one of a class.
+   * @param priority - Class of the new request.
+   */
+  countBefore(priority: contracts.RequestKind['priority']): number {
+    const { interactive, background } = this.waiting;
+    const [own, other, rate] = priority === 'interactive'
+      ? [interactive.size, background.size, 1 / INTERACTIVE_PER_BACKGROUND]
+      : [background.size, interactive.size, INTERACTIVE_PER_BACKGROUND];
+    return this.released.length + own + Math.min(other, (own + 1) * rate);
+  }
+
+  /**
+   * Adds a request.
+   * @param request - Request that has to wait.
+   */
+  insert(request: requestInProgress.RequestInProgress): void {
+    this.waiting[request.priority].add(request);
+  }
+
+  /**
+   * Puts a request back at the front.
+   * @param request - Request that was taken in vain.
+   */
+  release(request: requestInProgress.RequestInProgress): void {
+    this.released.push(request);
+  }
+
+  /**
+   * Removes a request.
+   * @param request - Request that ended.
+   */
+  remove(request: requestInProgress.RequestInProgress): void {
+    if (this.waiting[request.priority].delete(request)) return;
+    this.released = this.released.filter((other) => other !== request);
+  }
+
+  /** Takes the request that goes next. */
+  takeNext(): requestInProgress.RequestInProgress | undefined {
+    const again = this.released.shift();
+    if (again !== undefined) return again;
+    const { interactive, background } = this.waiting;
+    const backgroundIsDue = interactive.size === 0 || (background.size > 0 && this.interactiveRun >= INTERACTIVE_PER_BACKGROUND);
+    this.interactiveRun = backgroundIsDue ? 0 : this.interactiveRun + 1;
+    const chosen = backgroundIsDue ? background : interactive;
+    const [request] = chosen;
+    if (request !== undefined) chosen.delete(request);
+    return request;
+  }
+
+  /** Takes the request that would have waited longest from now: the newest, of the background class first. */
+  takeNewest(): requestInProgress.RequestInProgress | undefined {
+    const chosen = this.waiting.background.size > 0 ? this.waiting.background : this.waiting.interactive;
+    const request = [...chosen].at(-1);
+    if (request !== undefined) chosen.delete(request);
+    return request;
+  }
+}
--- /dev/null
+++ b/packages/core/src/callers/OperationRouter.ts
@@ -0,0 +1,155 @@
+import type * as contracts from '../contracts/index.js';
+import type * as vms from '../vms/index.js';
+import type * as attemptDispatcher from './AttemptDispatcher.js';
+import type * as deadlinePolicy from './DeadlinePolicy.js';
+import * as forwardTable from './ForwardTable.js';
+import type * as requestEnder from './RequestEnder.js';
+import type * as requestInProgress from './RequestInProgress.js';
+
+/** Options of an `OperationRouter`. */
+export interface OperationRouterOptions {
+  readonly context: vms.VmContext;
+  readonly replyTo: Extract<contracts.LedgerMessage, { type: 'begin' }>['replyTo'];
+  readonly ender: requestEnder.RequestEnder;
+  readonly dispatcher: attemptDispatcher.AttemptDispatcher;
+}
+
+/** Takes requests with an operation id to the ledger or to their home VM, before anything can end as "not run". */
+export class OperationRouter {
+  private readonly forwards: forwardTable.ForwardTable;
+
+  private readonly deadlines: deadlinePolicy.DeadlinePolicy;
+
+  private readonly policies: Readonly<Record<contracts.RequestKind['repeatability'], contracts.OperationPolicy>>;
+
+  /** @param options - Parts of the request task. */
+  constructor(private readonly options: OperationRouterOptions) {
+    const { rules } = options.context;
+    this.forwards = new forwardTable.ForwardTable(options.context);
+    this.deadlines = rules.callers.createDeadlinePolicy();
+    this.policies = {
+      idempotent: rules.contracts.createOperationPolicy('idempotent'),
+      'non-idempotent': rules.contracts.createOperationPolicy('non-idempotent'),
+    };
+  }
+
+  /**
+   * Takes the first step of a request.
+   * @param request - Request that arrived.
+   */
+  begin(request: requestInProgress.RequestInProgress): void {
+    const { context, replyTo, ender } = this.options;
+    const { requestId, origin } = request;
+    const { operationId } = request.request;
+    const step = this.chooseStep(request);
+    if (operationId !== undefined && step === 'ledger') {
+      context.mailboxes.ledger.post({
+        type: 'begin', requestId, operationId, digest: request.digest, origin: origin.type, replyTo,
+      });
+    } else if (request.rejection !== undefined) ender.endRequest(request, request.toNotRun(request.rejection));
+    else if (step === 'direct') this.options.dispatcher.begin(request);
+    else context.mailboxes.ledger.post({ type: 'prefix-requested', requestId, replyTo });
+  }
+
+  /**
+   * Continues a request with the decision of the ledger.
+   * @param request - Request that the ledger was asked about.
+   * @param reply - Decision of the ledger.
+   */
+  handleReply(request: requestInProgress.RequestInProgress, reply: contracts.LedgerReply): void {
+    const { ender, dispatcher } = this.options;
+    switch (reply.type) {
+      case 'run':
+        request.markGrant('held');
+        if (request.listener === 'gone') ender.endRequest(request, request.toNotRun('cancelled'));
+        else if (request.rejection !== undefined) ender.endRequest(request, request.toNotRun(request.rejection));
+        else dispatcher.begin(request);
+        break;
+      case 'joined':
+        request.markPhase('joined');
+        if (request.listener === 'gone') ender.endRequest(request, { type: 'unknown', reason: 'cancelled' });
+        break;
+      case 'settled':
+        ender.endRequest(request, reply.outcome);
+        break;
+      case 'forward':
+        this.forward(request, reply.home);
+        break;
+      case 'prefix':
+        ender.endRequest(request, {
+          type: 'not-run',
+          reason: 'operation-id-required',
+          retryAfterMs: 0,
+          ...(reply.prefix === undefined ? {} : { operationPrefix: reply.prefix }),
+        });
+        break;
+      // no default
+    }
+  }
+
+  /**
+   * Ends a forwarded request with the outcome of its home VM.
+   * @param from - VM that sent the outcome.
+   * @param forwardId - Id of the forward.
+   * @param outcome - Outcome at the home VM.
+   */
+  endForward(from: string, forwardId: string, outcome: contracts.Outcome): void {
+    const request = this.forwards.take(from, forwardId);
+    if (request !== undefined) this.options.ender.endRequest(request, outcome);
+  }
+
+  /**
+   * Ends all requests that were forwarded to a VM.
+   * @param home - VM that gives no answer.
+   * @param reason - What the callers are told.
+   */
+  endForwards(home: string, reason: 'home-unreachable' | 'home-gone'): void {
+    this.forwards.takeAll(home).forEach((request) => this.options.ender.endRequest(request, { type: 'unknown', reason }));
+  }
+
+  /**
+   * Records the outcome of an operation, or stops waiting for it. Called before the sender is answered.
+   * @param request - Request that ends.
+   * @param outcome - Its outcome.
+   */
+  end(request: requestInProgress.RequestInProgress, outcome: contracts.Outcome): void {
+    const { requestId } = request;
+    const { operationId } = request.request;
+    const { ledger } = this.options.context.mailboxes;
+    if (request.phase === 'forwarded') {
+      if (request.listener === 'gone') this.forwards.cancel(request);
+      else this.forwards.remove(request);
+    }
+    if (operationId === undefined) return;
+    // The ledger ignores the message for a request that it has settled.
+    if (request.phase === 'joined') ledger.post({ type: 'leave', requestId, operationId });
+    if (request.grant !== 'held') return;
+    request.markGrant('recorded');
+    ledger.post({ type: 'finish', operationId, outcome });
+  }
+
+  private chooseStep(request: requestInProgress.RequestInProgress): contracts.OperationStep {
+    const kind = request.requestClass?.kind;
+    // The home VM of a request that has an id decides even if this VM does not know its kind.
+    if (kind === undefined || request.origin.type === 'peer') return 'ledger';
+    return this.policies[kind.repeatability].chooseStep(request.request.operationId);
+  }
+
+  // This VM is not the home, so it never says "not run": an earlier copy may be running there.
+  private forward(request: requestInProgress.RequestInProgress, home: string): void {
+    const reason = this.getForwardFailure(request);
+    if (reason !== undefined) {
+      this.options.ender.endRequest(request, { type: 'unknown', reason });
+      return;
+    }
+    request.markPhase('forwarded');
+    this.forwards.forward(request, home);
+  }
+
+  private getForwardFailure(request: requestInProgress.RequestInProgress): contracts.UnknownReason | undefined {
+    const { rejection, deadlineAtMs, listener } = request;
+    if (listener === 'gone') return 'cancelled';
+    if (rejection === 'no-configuration' || rejection === 'stopping' || rejection === 'overloaded') return rejection;
+    return this.deadlines.canDispatch(this.options.context.timers.getNowMs(), deadlineAtMs) ? undefined : 'deadline-exceeded';
+  }
+}
--- a/packages/core/src/callers/RequestMessage.ts
+++ b/packages/core/src/callers/RequestMessage.ts
@@ -23,6 +23,8 @@
   | { readonly type: 'forward-ended'; readonly from: string; readonly forwardId: string; readonly outcome: contracts.Outcome }
   /** The transport could not reach a peer. */
   | { readonly type: 'peer-unreached'; readonly to: string }
+  /** The home VM of a forwarded operation is not known to the `PeerTask`, which dropped the message. */
+  | { readonly type: 'peer-unknown'; readonly to: string }
   | { readonly type: 'attempt-ended'; readonly attemptId: string; readonly result: upstreams.AttemptResult }
   | { readonly type: 'attempt-overflowed'; readonly attemptId: string; readonly echo: 'matched' | 'mismatched' | 'absent' }
   | upstreams.AcquireReply
@@ -33,5 +35,4 @@
   | { readonly type: 'hedge-due'; readonly requestId: string }
   | { readonly type: 'status-requested'; readonly replyTo: tasks.Mailbox<RequestStatus> }
   /** The VM stops. `requests-ended` is sent to the mailbox when no request is left. */
-  | { readonly type: 'stop'; readonly replyTo: tasks.Mailbox<{ readonly type: 'requests-ended' }> }
-  | { readonly type: 'tick' };
+  | { readonly type: 'stop'; readonly replyTo: tasks.Mailbox<{ readonly type: 'requests-ended' }> };
--- a/packages/core/src/callers/RequestTask.ts
+++ b/packages/core/src/callers/RequestTask.ts
@@ -1,127 +1,236 @@
 import type * as contracts from '../contracts/index.js';
 import * as tasks from '../tasks/index.js';
-import type * as upstreams from '../upstreams/index.js';
 import type * as vms from '../vms/index.js';
+import * as attemptDispatcher from './AttemptDispatcher.js';
+import * as attemptTable from './AttemptTable.js';
 import type * as callerRequest from './CallerRequest.js';
+import type * as deadlinePolicy from './DeadlinePolicy.js';
+import * as operationRouter from './OperationRouter.js';
+import * as outcomeReporter from './OutcomeReporter.js';
+import * as requestClassifier from './RequestClassifier.js';
+import type * as requestEnder from './RequestEnder.js';
+import * as requestInProgress from './RequestInProgress.js';
 import type * as requestMessage from './RequestMessage.js';
+import * as serviceQueueTable from './ServiceQueueTable.js';
 
-interface RequestInProgress {
-  readonly requestId: string;
-  readonly request: callerRequest.CallerRequest;
-  readonly contract: contracts.ServiceContract;
-  readonly deadlineAtMs: number;
-}
+const MAX_REQUESTS = 10_000;
+
+// A cancelled attempt ends at once or with the confirmation of its upstream.
+const RELEASE_WAIT_MS = 1_000;
+
+/** Owns the requests in progress from their arrival until their last attempt has ended. */
+export class RequestTask extends tasks.Task<requestMessage.RequestMessage> implements requestEnder.RequestEnder {
+  private readonly requests = new Map<string, requestInProgress.RequestInProgress>();
+
+  private readonly classifier: requestClassifier.RequestClassifier;
+
+  private readonly deadlines: deadlinePolicy.DeadlinePolicy;
+
+  private readonly queues: serviceQueueTable.ServiceQueueTable;
 
-/** Owns the requests in progress from their arrival to the answer of the caller. */
-export class RequestTask extends tasks.Task<requestMessage.RequestMessage> {
-  private document: contracts.DeploymentDocument | undefined;
+  private readonly table: attemptTable.AttemptTable;
 
-  private readonly requests = new Map<string, RequestInProgress>();
+  private readonly dispatcher: attemptDispatcher.AttemptDispatcher;
 
-  private nextAttempt = 0;
+  private readonly router: operationRouter.OperationRouter;
 
-  private readonly attempts = new Map<string, { readonly request: RequestInProgress; readonly startedAtMs: number }>();
+  private readonly reporter: outcomeReporter.OutcomeReporter;
+
+  private state: 'serving' | 'stopping' | 'ended' = 'serving';
+
+  private stopReplyTo: tasks.Mailbox<{ readonly type: 'requests-ended' }> | undefined;
 
   /** @param context - Surroundings of the tasks of the VM. */
   constructor(private readonly context: vms.VmContext) {
     super(context.scheduler);
+    const rules = context.rules.callers;
+    this.classifier = new requestClassifier.RequestClassifier(rules);
+    this.deadlines = rules.createDeadlinePolicy();
+    this.queues = new serviceQueueTable.ServiceQueueTable(rules);
+    this.table = new attemptTable.AttemptTable(context);
+    this.dispatcher = new attemptDispatcher.AttemptDispatcher({
+      context, mailbox: this, ender: this, table: this.table, queues: this.queues,
+    });
+    this.router = new operationRouter.OperationRouter({
+      context, replyTo: this, ender: this, dispatcher: this.dispatcher,
+    });
+    this.reporter = new outcomeReporter.OutcomeReporter(context);
   }
 
   /** @internal */
   override handle(message: requestMessage.RequestMessage): void {
     switch (message.type) {
       case 'document-accepted':
-        this.document = message.document;
+        this.classifier.setDocument(message.document);
         break;
       case 'caller-request':
-        this.beginRequest(message.requestId, message.request);
+        this.beginRequest(message.requestId, message.request, { type: 'caller' });
+        break;
+      case 'caller-gone':
+        this.endSender(this.requests.get(message.requestId));
+        break;
+      case 'forwarded': {
+        const { from, forwardId, request } = message;
+        this.beginRequest(RequestTask.formatForwardKey(message), request, { type: 'peer', from, forwardId });
+        break;
+      }
+      case 'forward-cancelled':
+        this.endSender(this.requests.get(RequestTask.formatForwardKey(message)));
+        break;
+      case 'forward-ended':
+        this.router.endForward(message.from, message.forwardId, message.outcome);
+        break;
+      case 'peer-unreached':
+        this.router.endForwards(message.to, 'home-unreachable');
+        break;
+      case 'peer-unknown':
+        this.router.endForwards(message.to, 'home-gone');
         break;
       case 'assigned':
-        this.sendAttempt(message);
+        this.dispatcher.handleAssigned(message);
         break;
       case 'unavailable':
-        this.settleAttempt(message.attemptId, { type: 'not-run', reason: 'no-instance', retryAfterMs: 1_000 });
+        this.dispatcher.handleUnavailable(message);
+        break;
+      case 'capacity-freed':
+        this.dispatcher.handleCapacity(message.service);
         break;
       case 'attempt-ended':
-        this.endAttempt(message.attemptId, message.result);
+        this.dispatcher.handleEnded(message.attemptId, message.result);
         break;
-      case 'stop':
-        message.replyTo.post({ type: 'requests-ended' });
+      case 'attempt-overflowed':
+        this.dispatcher.handleOverflow(message.attemptId, message.echo);
         break;
       case 'status-requested':
-        message.replyTo.post({
-          type: 'request-status', inFlight: this.requests.size, queued: 0, answered: 0, notRun: 0, unknown: 0,
-        });
+        message.replyTo.post(this.buildStatus());
+        break;
+      case 'stop':
+        this.state = 'stopping';
+        this.stopReplyTo = message.replyTo;
+        this.notifyIfEnded();
         break;
       default:
+        this.resumeRequest(message);
         break;
     }
   }
 
-  private beginRequest(requestId: string, request: callerRequest.CallerRequest): void {
-    const contract = this.document?.services.find((service) => service.name === request.service);
-    if (contract === undefined) {
-      const reason = this.document === undefined ? 'no-configuration' : 'unknown-service';
-      this.context.outbox.post({ type: 'caller-answer', requestId, outcome: { type: 'not-run', reason, retryAfterMs: 1_000 } });
+  /** @internal */
+  endRequest(request: requestInProgress.RequestInProgress, outcome: contracts.Outcome, counted = outcome.type): void {
+    if (request.phase === 'ended') return;
+    if (request.phase === 'queued') this.queues.removeWaiting(request);
+    this.router.end(request, outcome);
+    request.markPhase('ended');
+    request.cancelTimers();
+    this.reporter.answer(request, outcome);
+    this.reporter.record(request, counted);
+    if (request.attempts.length === 0) {
+      this.removeRequest(request);
       return;
     }
-    const deadlineAtMs = this.context.timers.getNowMs() + (request.deadlineMs ?? 1_000);
-    const inProgress = {
-      requestId, request, contract, deadlineAtMs,
-    };
-    this.requests.set(requestId, inProgress);
-    const attemptId = `${requestId}/${this.nextAttempt}`;
-    this.nextAttempt += 1;
-    this.attempts.set(attemptId, { request: inProgress, startedAtMs: this.context.timers.getNowMs() });
-    this.context.mailboxes.upstreams.post({
-      type: 'to-service',
-      service: contract.name,
-      message: {
-        type: 'acquire', attemptId, excluded: [], replyTo: this,
-      },
-    });
+    this.table.cancelAll(request);
+    this.setBound(request, 'release', RELEASE_WAIT_MS);
+  }
+
+  /** @internal */
+  removeRequest(request: requestInProgress.RequestInProgress): void {
+    if (request.phase !== 'ended' || request.attempts.length > 0) return;
+    request.cancelTimers();
+    this.requests.delete(request.requestId);
+    this.notifyIfEnded();
   }
 
-  private sendAttempt(assigned: Extract<upstreams.AcquireReply, { type: 'assigned' }>): void {
-    const attempt = this.attempts.get(assigned.attemptId);
-    if (attempt === undefined) return;
-    const { requestId, request, contract } = attempt.request;
-    this.context.outbox.post({
-      type: 'send-attempt',
-      attemptId: assigned.attemptId,
+  private beginRequest(requestId: string, sent: callerRequest.CallerRequest, origin: requestInProgress.RequestOrigin): void {
+    // The sender of a duplicated forward gets the answer of the first one.
+    if (this.requests.has(requestId)) return;
+    const found = this.classifier.findClass(sent);
+    const requestClass = typeof found === 'string' ? undefined : found;
+    const arrivedAtMs = this.context.timers.getNowMs();
+    const deadlineMs = this.deadlines.computeDeadlineMs(sent.deadlineMs, requestClass?.kind.deadlineMs);
+    const request = new requestInProgress.RequestInProgress({
       requestId,
-      instance: assigned.instance,
-      contract,
-      request,
-      timeoutMs: attempt.request.deadlineAtMs - this.context.timers.getNowMs(),
+      request: sent,
+      origin,
+      requestClass,
+      rejection: this.getVmRejection() ?? (typeof found === 'string' ? found : undefined),
+      arrivedAtMs,
+      deadlineAtMs: arrivedAtMs + deadlineMs,
     });
+    this.requests.set(requestId, request);
+    this.setBound(request, 'deadline', deadlineMs);
+    this.router.begin(request);
   }
 
-  private endAttempt(attemptId: string, result: upstreams.AttemptResult): void {
-    const attempt = this.attempts.get(attemptId);
-    if (attempt === undefined) return;
-    this.context.mailboxes.upstreams.post({
-      type: 'to-service',
-      service: attempt.request.contract.name,
-      message: {
-        type: 'observed',
-        attemptId,
-        observation: result.type === 'answered' ? 'on-time' : 'failed',
-        latencyMs: this.context.timers.getNowMs() - attempt.startedAtMs,
-        load: undefined,
-        drain: undefined,
-      },
-    });
-    this.settleAttempt(attemptId, result.type === 'answered'
-      ? { type: 'answered', answer: result.answer }
-      : { type: 'unknown', reason: 'upstream-reset' });
+  private resumeRequest(message: Extract<requestMessage.RequestMessage, { readonly requestId: string }>): void {
+    const request = this.requests.get(message.requestId);
+    if (request === undefined) return;
+    if (message.type === 'deadline') this.handleBound(request);
+    if (request.phase === 'ended' || message.type === 'deadline') return;
+    if (message.type === 'hedge-due') this.dispatcher.handleHedge(request);
+    else if (message.type !== 'caller-request' && message.type !== 'caller-gone') this.router.handleReply(request, message);
+  }
+
+  private handleBound(request: requestInProgress.RequestInProgress): void {
+    const mayRunOn = request.grant === 'held' && request.bound === 'deadline' && request.listener !== 'streaming';
+    if (request.phase === 'ended') {
+      this.table.releaseAll(request);
+      this.removeRequest(request);
+    } else if (request.phase === 'ledger') {
+      // The ledger may have allowed the operation already; its reply is queued before this message.
+      this.post({ type: 'deadline', requestId: request.requestId });
+    } else if (request.phase === 'joined') this.endRequest(request, { type: 'unknown', reason: 'deadline-exceeded' });
+    else if (request.phase === 'forwarded') this.endRequest(request, { type: 'unknown', reason: 'home-unreachable' });
+    else if (!request.hasSentAttempt()) this.endRequest(request, request.toNotRun('deadline-exceeded'));
+    else if (mayRunOn) {
+      // The operation runs on, so that a repeat gets its answer.
+      this.reporter.answer(request, { type: 'unknown', reason: 'deadline-exceeded' });
+      this.reporter.record(request, 'unknown');
+      this.setBound(request, 'run-on', this.deadlines.getRunOnMs());
+    } else this.endRequest(request, request.toUnknown(request.doubt ?? 'deadline-exceeded'));
+  }
+
+  private endSender(request: requestInProgress.RequestInProgress | undefined): void {
+    if (request === undefined || request.phase === 'ended') return;
+    request.markListener('gone');
+    // While the ledger decides, its reply ends the request.
+    if (request.phase === 'ledger') return;
+    if (request.grant === 'held' && request.hasSentAttempt()) {
+      this.table.requestCancellation(request);
+      return;
+    }
+    const mayRun = request.phase === 'joined' || request.phase === 'forwarded' || request.hasSentAttempt();
+    this.endRequest(request, mayRun ? { type: 'unknown', reason: 'cancelled' } : request.toNotRun('cancelled'));
+  }
+
+  private setBound(request: requestInProgress.RequestInProgress, bound: requestInProgress.RequestInProgress['bound'], delayMs: number): void {
+    request.setTimer(bound, this.context.timers.subscribe({ mailbox: this, message: { type: 'deadline', requestId: request.requestId }, delayMs }));
+  }
+
+  private getVmRejection(): 'stopping' | 'overloaded' | undefined {
+    if (this.state !== 'serving') return 'stopping';
+    return this.requests.size >= MAX_REQUESTS ? 'overloaded' : undefined;
+  }
+
+  private notifyIfEnded(): void {
+    if (this.state !== 'stopping' || this.requests.size > 0) return;
+    this.state = 'ended';
+    this.stopReplyTo?.post({ type: 'requests-ended' });
+  }
+
+  private buildStatus(): requestMessage.RequestStatus {
+    const counts = this.reporter.getCounts();
+    return {
+      type: 'request-status',
+      inFlight: this.requests.size,
+      queued: this.queues.countWaiting(),
+      answered: counts.answered,
+      notRun: counts['not-run'],
+      unknown: counts.unknown,
+    };
   }
 
-  private settleAttempt(attemptId: string, outcome: contracts.Outcome): void {
-    const attempt = this.attempts.get(attemptId);
-    if (attempt === undefined) return;
-    this.attempts.delete(attemptId);
-    this.requests.delete(attempt.request.requestId);
-    this.context.outbox.post({ type: 'caller-answer', requestId: attempt.request.requestId, outcome });
+  // Request ids of callers are tokens without a colon.
+  private static formatForwardKey(forward: { readonly from: string; readonly forwardId: string }): string {
+    return `peer:${forward.from}:${forward.forwardId}`;
   }
 }
--- /dev/null
+++ b/packages/core/src/callers/ServiceQueueTable.ts
@@ -0,0 +1,36 @@
+import type * as callerRules from './CallerRules.js';
+import type * as requestInProgress from './RequestInProgress.js';
+import * as serviceQueue from './ServiceQueue.js';
+
+/** Queues of all services. */
+export class ServiceQueueTable {
+  private readonly queues = new Map<string, serviceQueue.ServiceQueue>();
+
+  /** @param rules - Creates the policies of a queue. */
+  constructor(private readonly rules: callerRules.CallerRules) {}
+
+  /**
+   * Gets the queue of a service and creates it for the first request.
+   * @param service - Name of a declared service.
+   */
+  getQueue(service: string): serviceQueue.ServiceQueue {
+    const known = this.queues.get(service);
+    if (known !== undefined) return known;
+    const queue = new serviceQueue.ServiceQueue(this.rules.createAdmissionPolicy(), this.rules.createRetryBudget());
+    this.queues.set(service, queue);
+    return queue;
+  }
+
+  /**
+   * Removes a request that ended while it waited.
+   * @param request - Request to remove.
+   */
+  removeWaiting(request: requestInProgress.RequestInProgress): void {
+    this.queues.get(request.request.service)?.admission.remove(request);
+  }
+
+  /** Counts the requests that wait for capacity. */
+  countWaiting(): number {
+    return [...this.queues.values()].reduce((sum, queue) => sum + queue.admission.count(), 0);
+  }
+}
--- a/packages/core/src/contracts/ContractRules.ts
+++ b/packages/core/src/contracts/ContractRules.ts
@@ -1,2 +1,43 @@
+import * as answerRetention from './AnswerRetention.js';
+import * as operationEpochs from './OperationEpochs.js';
+import * as operationLedger from './OperationLedger.js';
+import type * as operationPolicy from './OperationPolicy.js';
+import * as prefixedOperationPolicy from './PrefixedOperationPolicy.js';
+import type * as requestKind from './RequestKind.js';
+import * as unprefixedOperationPolicy from './UnprefixedOperationPolicy.js';
+
+const MAX_LEDGER_ENTRIES = 200_000;
+
 /** Creates the rules that the tasks for documents and operations decide by. A subclass replaces single rules. */
-export class ContractRules {}
+export class ContractRules {
+  /**
+   * Creates the rule for the epochs of an incarnation.
+   * @param startedAtMs - Monotonic time at which the incarnation started, in milliseconds.
+   */
+  createEpochs(startedAtMs: number): operationEpochs.OperationEpochs {
+    return new operationEpochs.OperationEpochs(startedAtMs);
+  }
+
+  /** Creates the rule for the answers that the ledger keeps. */
+  createRetention(): answerRetention.AnswerRetention {
+    return new answerRetention.AnswerRetention();
+  }
+
+  /**
+   * Creates the ledger of an incarnation.
+   * @param epochs - Rule for the epochs of the incarnation.
+   */
+  createLedger(epochs: operationEpochs.OperationEpochs): operationLedger.OperationLedger {
+    return new operationLedger.OperationLedger({ epochs, retention: this.createRetention(), maxEntries: MAX_LEDGER_ENTRIES });
+  }
+
+  /**
+   * Creates the policy of a kind towards the ledger.
+   * @param repeatability - Whether the kind is idempotent.
+   */
+  createOperationPolicy(repeatability: requestKind.RequestKind['repeatability']): operationPolicy.OperationPolicy {
+    return repeatability === 'idempotent'
+      ? new unprefixedOperationPolicy.UnprefixedOperationPolicy()
+      : new prefixedOperationPolicy.PrefixedOperationPolicy();
+  }
+}
--- a/packages/core/src/contracts/Outcome.ts
+++ b/packages/core/src/contracts/Outcome.ts
@@ -24,6 +24,8 @@
   | 'home-unreachable'
   | 'ledger-full'
   | 'no-configuration'
+  | 'stopping'
+  | 'overloaded'
   | 'cancelled'
   | 'deadline-exceeded';
 
--- a/packages/core/src/vms/VmOutput.ts
+++ b/packages/core/src/vms/VmOutput.ts
@@ -31,8 +31,10 @@
     readonly instance: upstreams.InstanceAddress;
     readonly contract: contracts.ServiceContract;
     readonly request: callers.CallerRequest;
-    /** Time that is left for the attempt, in milliseconds. */
+    /** Time for which the connection waits for the answer, in milliseconds. An operation may run on after its deadline. */
     readonly timeoutMs: number;
+    /** Time that the caller still waits, in milliseconds; the upstream is told this as its deadline. */
+    readonly deadlineMs: number;
   }
   | { readonly type: 'cancel-attempt'; readonly attemptId: string }
   | { readonly type: 'stream-attempt'; readonly attemptId: string }
--- /dev/null
+++ b/packages/core/test/TestVm.ts
@@ -0,0 +1,200 @@
+import * as core from '@tamarackferry/core';
+
+type Outcome = core.contracts.Outcome;
+
+const KIND = {
+  method: 'GET', pathPrefix: '/read', repeatability: 'idempotent', priority: 'interactive', weight: 1, deadlineMs: 1_000, onTimeMs: 100,
+} as const;
+
+const CONTRACT: core.contracts.ServiceContract = {
+  name: 'orders',
+  floorInstances: 1,
+  slotsPerInstance: 4,
+  connectionsPerInstance: 10,
+  detection: 'cautious',
+  requestIdEcho: 'echoed',
+  notRunAnswers: 'declared',
+  answerDigest: 'absent',
+  kinds: [
+    { ...KIND, name: 'read' },
+    {
+      ...KIND, name: 'order', method: 'POST', pathPrefix: '/order', repeatability: 'non-idempotent',
+    },
+  ],
+};
+
+/** Options of a `TestVm`. */
+export interface TestVmOptions {
+  readonly timers?: core.time.VirtualTimerService;
+  readonly name?: string;
+  readonly rules?: Partial<core.vms.VmRules>;
+  readonly contract?: Partial<core.contracts.ServiceContract>;
+  /** Slots of all instances together. */
+  readonly slots?: number;
+  readonly hedgeAfterMs?: number;
+  readonly document?: 'accepted' | 'missing';
+}
+
+/** Request and ledger task of one VM between fakes of the other tasks. */
+export class TestVm {
+  readonly timers: core.time.VirtualTimerService;
+
+  readonly outputs: core.vms.VmOutput[] = [];
+
+  readonly peerMessages: { readonly to: string; readonly message: core.vms.PeerMessage }[] = [];
+
+  readonly evidence: core.callers.EvidenceMessage[] = [];
+
+  /** Observations by attempt, for the attempts that got an instance. */
+  readonly observed = new Map<string, core.upstreams.Observation[]>();
+
+  readonly requests: core.callers.RequestTask;
+
+  readonly ledger: core.contracts.LedgerTask;
+
+  readonly name: string;
+
+  stoppedCount = 0;
+
+  private slotsInUse = 0;
+
+  private saturation: 'none' | 'told' = 'none';
+
+  private nextInstance = 0;
+
+  constructor(private readonly options: TestVmOptions = {}) {
+    this.timers = options.timers ?? new core.time.VirtualTimerService();
+    this.name = options.name ?? 'vm-1';
+    const mailboxes = {
+      evidence: { post: (message: core.callers.EvidenceMessage) => this.evidence.push(message) },
+      upstreams: { post: (message: core.upstreams.UpstreamDirectoryMessage) => this.handleUpstream(message) },
+      peers: {
+        post: (message: core.vms.PeerTaskMessage) => {
+          if (message.type === 'send') this.peerMessages.push(message);
+        },
+      },
+    } as unknown as { -readonly [Name in keyof core.vms.VmMailboxes]: core.vms.VmMailboxes[Name] };
+    const context: core.vms.VmContext = {
+      identity: {
+        name: this.name, incarnation: `${this.name}x`, host: '10.0.0.1', port: 1, peerPort: 2, place: 'a',
+      },
+      deployment: 'test',
+      scheduler: new core.tasks.TaskScheduler(),
+      timers: this.timers,
+      random: new core.randomness.SeededRandomSource(1),
+      codec: undefined as unknown as core.contracts.DocumentCodec,
+      outbox: { post: (output) => this.outputs.push(output) },
+      mailboxes,
+      rules: {
+        callers: new core.callers.CallerRules(),
+        contracts: new core.contracts.ContractRules(),
+        upstreams: new core.upstreams.UpstreamRules(),
+        ...options.rules,
+      },
+      seedPeers: [],
+      addressValidityMs: 10_000,
+    };
+    this.ledger = new core.contracts.LedgerTask(context);
+    mailboxes.ledger = this.ledger;
+    this.requests = new core.callers.RequestTask(context);
+    mailboxes.requests = this.requests;
+    if (options.document !== 'missing') this.acceptDocument();
+  }
+
+  acceptDocument(): void {
+    const members = [['museum', 1], ['archive', 1], ['school', 2]] as const;
+    this.requests.post({
+      type: 'document-accepted',
+      document: {
+        services: [{ ...CONTRACT, ...this.options.contract }],
+        members: members.map(([name, share]) => ({
+          name, counting: 'weighted-on-time', share, keyDigest: '',
+        })),
+      } as unknown as core.contracts.DeploymentDocument,
+    });
+  }
+
+  /** Builds an operation id of this VM. */
+  buildId(nonce: string, epoch = 0): string {
+    return `${this.name}.${this.name}x.${epoch}.${nonce}`;
+  }
+
+  read(requestId: string, overrides: Partial<core.callers.CallerRequest> = {}): void {
+    const request = {
+      service: 'orders', method: 'GET', path: '/read', headers: [], body: new Uint8Array(), digest: '', member: 'museum', deadlineMs: undefined, operationId: undefined,
+    };
+    this.requests.post({ type: 'caller-request', requestId, request: { ...request, ...overrides } });
+  }
+
+  sendOrder(requestId: string, operationId: string | undefined, overrides: Partial<core.callers.CallerRequest> = {}): void {
+    this.read(requestId, {
+      method: 'POST', path: '/order', digest: 'd', operationId, ...overrides,
+    });
+  }
+
+  listAttempts(): Extract<core.vms.VmOutput, { type: 'send-attempt' }>[] {
+    return this.outputs.filter((output) => output.type === 'send-attempt');
+  }
+
+  /** Ends an attempt, the last one if no id is given. */
+  endAttempt(result: core.upstreams.AttemptResult, attemptId = this.listAttempts().at(-1)?.attemptId ?? ''): void {
+    this.requests.post({ type: 'attempt-ended', attemptId, result });
+  }
+
+  answerAttempt(overrides: Partial<Extract<core.upstreams.AttemptResult, { type: 'answered' }>> = {}, attemptId?: string): void {
+    const answer = { status: 200, headers: [], body: new Uint8Array(4) };
+    this.endAttempt({
+      type: 'answered', answer, echo: 'matched', notRun: undefined, drain: undefined, load: undefined, ...overrides,
+    }, attemptId);
+  }
+
+  listOutcomes(requestId: string): Outcome[] {
+    return this.outputs.flatMap((output) => (output.type === 'caller-answer' && output.requestId === requestId ? [output.outcome] : []));
+  }
+
+  /** Formats the outcome of a request as `type` or `type reason`; `none` before it has one. */
+  formatOutcome(requestId: string): string {
+    const outcomes = this.listOutcomes(requestId).map((outcome) => (outcome.type === 'answered' ? 'answered' : `${outcome.type} ${outcome.reason}`));
+    return outcomes.length === 0 ? 'none' : outcomes.join(', ');
+  }
+
+  stop(): void {
+    this.requests.post({
+      type: 'stop',
+      replyTo: {
+        post: () => {
+          this.stoppedCount += 1;
+        },
+      },
+    });
+  }
+
+  private handleUpstream(directoryMessage: core.upstreams.UpstreamDirectoryMessage): void {
+    if (directoryMessage.type !== 'to-service') return;
+    const { message } = directoryMessage;
+    if (message.type === 'observed') {
+      this.observed.get(message.attemptId)?.push(message.observation);
+      this.slotsInUse -= 1;
+      if (this.saturation === 'told') this.requests.post({ type: 'capacity-freed', service: 'orders' });
+      this.saturation = 'none';
+    }
+    if (message.type !== 'acquire') return;
+    const { attemptId } = message;
+    if (this.slotsInUse >= (this.options.slots ?? 1_000)) {
+      this.saturation = 'told';
+      message.replyTo.post({ type: 'unavailable', attemptId, cause: 'saturated' });
+      return;
+    }
+    this.slotsInUse += 1;
+    this.nextInstance += 1;
+    this.observed.set(attemptId, []);
+    message.replyTo.post({
+      type: 'assigned',
+      attemptId,
+      instance: {
+        service: 'orders', name: `i-${this.nextInstance}`, incarnation: '1', host: '10.0.0.2', port: 1, place: 'a',
+      },
+      hedgeAfterMs: this.options.hedgeAfterMs ?? Infinity,
+    });
+  }
+}
--- /dev/null
+++ b/packages/core/test/callers/FairAdmissionPolicy.test.ts
@@ -0,0 +1,68 @@
+import * as vitest from 'vitest';
+
+import * as rules from '../faults/rules.js';
+import * as unfairAdmissionPolicy from '../faults/UnfairAdmissionPolicy.js';
+import * as testVm from '../TestVm.js';
+
+const SLOTS = 4;
+
+const SERVICE_MS = 10;
+
+// Four slots of 10 ms serve 400 requests a second. One member floods, the others stay far below their shares.
+function countAnswers(options: testVm.TestVmOptions): ReadonlyMap<string, number> {
+  const vm = new testVm.TestVm({ ...options, slots: SLOTS });
+  const answered = new Map<string, number>();
+  const started: { readonly attemptId: string; readonly member: string; readonly endsAtMs: number }[] = [];
+  let seen = 0;
+  Array.from({ length: 3_000 }, (_, nowMs) => nowMs).forEach((nowMs) => {
+    vm.timers.advanceTo(nowMs);
+    if (nowMs < 2_000) {
+      Array.from({ length: 4 }, (_, index) => vm.read(`m-${nowMs}-${index}`, { member: 'museum' }));
+      if (nowMs % 20 === 0) ['archive', 'school'].forEach((member) => vm.read(`${member}-${nowMs}`, { member }));
+    }
+    started.splice(0, started.filter((attempt) => attempt.endsAtMs <= nowMs).length).forEach(({ attemptId, member }) => {
+      vm.answerAttempt({}, attemptId);
+      answered.set(member, (answered.get(member) ?? 0) + 1);
+    });
+    vm.outputs.slice(seen).forEach((output) => {
+      if (output.type === 'send-attempt') started.push({ attemptId: output.attemptId, member: output.request.member, endsAtMs: nowMs + SERVICE_MS });
+    });
+    seen = vm.outputs.length;
+  });
+  return answered;
+}
+
+function checkSmallMembers(options: testVm.TestVmOptions): boolean {
+  const answered = countAnswers(options);
+  return answered.get('archive') === 100 && answered.get('school') === 100 && (answered.get('museum') ?? 0) > 500;
+}
+
+vitest.describe('FairAdmissionPolicy', () => {
+  vitest.it('serves the other members while one floods (guards against a member that takes the answers of others)', () => {
+    vitest.expect(checkSmallMembers({})).toBe(true);
+    const unfair = rules.buildCallerRules({ createAdmissionPolicy: () => new unfairAdmissionPolicy.UnfairAdmissionPolicy(500) });
+    vitest.expect(checkSmallMembers({ rules: unfair })).toBe(false);
+  });
+
+  vitest.it('divides a full service by the shares of the members (guards against ignored shares)', () => {
+    const vm = new testVm.TestVm({ slots: 1 });
+    vm.read('first');
+    const order = ['museum', 'archive', 'school'].flatMap((member) => Array.from({ length: 60 }, (_, index) => `${member}-${index}`));
+    order.forEach((requestId) => vm.read(requestId, { member: requestId.split('-')[0]! }));
+    Array.from({ length: 80 }, () => vm.answerAttempt());
+    const served = vm.listAttempts().slice(1).map((attempt) => attempt.request.member);
+    vitest.expect(['museum', 'archive', 'school'].map((member) => served.filter((name) => name === member).length)).toEqual([20, 20, 40]);
+  });
+
+  vitest.it('sheds early what cannot end before its deadline (guards against work for callers that have given up)', () => {
+    const vm = new testVm.TestVm({ slots: 1 });
+    Array.from({ length: 30 }, (_, index) => vm.read(`r-${index}`, { deadlineMs: 10_000 }));
+    Array.from({ length: 20 }, (_, index) => index).forEach((index) => {
+      vm.timers.advanceTo(100 * (index + 1));
+      vm.answerAttempt();
+    });
+    vm.read('short', { deadlineMs: 200 });
+    vm.read('long', { deadlineMs: 5_000 });
+    vitest.expect([vm.formatOutcome('short'), vm.formatOutcome('long')]).toEqual(['not-run overloaded', 'none']);
+  });
+});
--- /dev/null
+++ b/packages/core/test/callers/RequestTask.test.ts
@@ -0,0 +1,215 @@
+import * as vitest from 'vitest';
+
+import * as endlessRetryBudget from '../faults/EndlessRetryBudget.js';
+import * as lateDeadlinePolicy from '../faults/LateDeadlinePolicy.js';
+import * as looseRetryPolicy from '../faults/LooseRetryPolicy.js';
+import * as optimisticInterpreter from '../faults/OptimisticInterpreter.js';
+import * as rules from '../faults/rules.js';
+import * as trustingInterpreter from '../faults/TrustingInterpreter.js';
+import * as testVm from '../TestVm.js';
+
+const AMBIGUOUS = [
+  { type: 'reset' }, { type: 'timed-out' }, { type: 'truncated' }, { type: 'cancelled', confirmation: 'silent' }, { type: 'stream-broken' },
+] as const;
+
+// Gives the retry budget a token, so that the policy alone decides about the next retry.
+function fillBudget(vm: testVm.TestVm): void {
+  Array.from({ length: 20 }, (_, index) => index).forEach((index) => {
+    vm.read(`fill-${index}`);
+    vm.answerAttempt();
+  });
+}
+
+function checkSingleDispatch(options: testVm.TestVmOptions): boolean {
+  return AMBIGUOUS.every((result) => {
+    const vm = new testVm.TestVm(options);
+    fillBudget(vm);
+    vm.sendOrder('r', vm.buildId('n'));
+    vm.endAttempt(result);
+    return vm.listAttempts().filter((attempt) => attempt.request.method === 'POST').length === 1 && vm.formatOutcome('r').startsWith('unknown');
+  });
+}
+
+function checkWholeAnswer(options: testVm.TestVmOptions): boolean {
+  return (['mismatched', 'absent'] as const).every((echo) => {
+    const vm = new testVm.TestVm(options);
+    vm.read('r');
+    vm.answerAttempt({ echo });
+    return vm.formatOutcome('r') === 'unknown answer-mismatched';
+  });
+}
+
+function checkLateDispatch(options: testVm.TestVmOptions): boolean {
+  const vm = new testVm.TestVm({ ...options, slots: 1 });
+  vm.read('first');
+  vm.sendOrder('second', vm.buildId('n'));
+  // The VM pauses past the deadline; the answer is handled before the timer that is due.
+  vm.timers.moveTo(5_000);
+  vm.answerAttempt();
+  vm.sendOrder('repeat', vm.buildId('n'));
+  const notRun = 'not-run deadline-exceeded';
+  return vm.listAttempts().length === 1 && vm.formatOutcome('second') === notRun && vm.formatOutcome('repeat') === notRun;
+}
+
+function checkRetryLoad(options: testVm.TestVmOptions): boolean {
+  const vm = new testVm.TestVm(options);
+  Array.from({ length: 500 }, (_, index) => `r-${index}`).forEach((requestId) => {
+    vm.read(requestId);
+    while (vm.formatOutcome(requestId) === 'none') vm.answerAttempt({ notRun: 'shed' });
+  });
+  return vm.listAttempts().length <= 550;
+}
+
+vitest.describe('RequestTask', () => {
+  vitest.it('sends an operation once when it may have run (guards against a second execution by a retry)', () => {
+    vitest.expect(checkSingleDispatch({})).toBe(true);
+    vitest.expect(checkSingleDispatch({
+      rules: rules.buildCallerRules({ createRetryPolicy: () => new looseRetryPolicy.LooseRetryPolicy() }),
+    })).toBe(false);
+    vitest.expect(checkSingleDispatch({
+      rules: rules.buildCallerRules({ createInterpreter: () => new optimisticInterpreter.OptimisticInterpreter() }),
+    })).toBe(false);
+  });
+
+  vitest.it('never hands on an answer that is not known to belong to the request (guards against swapped answers)', () => {
+    vitest.expect(checkWholeAnswer({})).toBe(true);
+    const trusting = rules.buildCallerRules({ createInterpreter: () => new trustingInterpreter.TrustingInterpreter() });
+    vitest.expect(checkWholeAnswer({ rules: trusting })).toBe(false);
+  });
+
+  vitest.it('checks the deadline again when it sends (guards against work of a VM that paused)', () => {
+    vitest.expect(checkLateDispatch({})).toBe(true);
+    const late = rules.buildCallerRules({ createDeadlinePolicy: () => new lateDeadlinePolicy.LateDeadlinePolicy() });
+    vitest.expect(checkLateDispatch({ rules: late })).toBe(false);
+  });
+
+  vitest.it('bounds retries to a tenth of the requests (guards against multiplied load on upstreams that shed)', () => {
+    vitest.expect(checkRetryLoad({})).toBe(true);
+    const endless = rules.buildCallerRules({ createRetryBudget: () => new endlessRetryBudget.EndlessRetryBudget() });
+    vitest.expect(checkRetryLoad({ rules: endless })).toBe(false);
+  });
+
+  vitest.it('retries an operation elsewhere after a proof that it did not run (guards against needless failures)', () => {
+    const vm = new testVm.TestVm();
+    fillBudget(vm);
+    vm.sendOrder('r', vm.buildId('n'));
+    vm.endAttempt({ type: 'refused' });
+    vm.answerAttempt({ notRun: 'shed' });
+    vm.answerAttempt();
+    vitest.expect(vm.formatOutcome('r')).toBe('answered');
+    vitest.expect(new Set(vm.listAttempts().map((attempt) => attempt.instance.name)).size).toBe(23);
+    vitest.expect([...vm.observed.values()].flat().slice(-3)).toEqual(['refused', 'shed', 'on-time']);
+  });
+
+  vitest.it('hands on an undeclared not-run answer as an answer (guards against proofs that the contract does not give)', () => {
+    const vm = new testVm.TestVm({ contract: { notRunAnswers: 'absent' } });
+    vm.sendOrder('r', vm.buildId('n'));
+    vm.answerAttempt({ notRun: 'shed' });
+    vitest.expect(vm.formatOutcome('r')).toBe('answered');
+  });
+
+  vitest.it('keeps an operation running after the deadline of its caller (guards against a lost answer for repeats)', () => {
+    const vm = new testVm.TestVm();
+    vm.sendOrder('r', vm.buildId('n'));
+    vm.timers.advanceTo(1_000);
+    vitest.expect(vm.formatOutcome('r')).toBe('unknown deadline-exceeded');
+    vm.sendOrder('joined', vm.buildId('n'));
+    vm.stop();
+    vitest.expect(vm.stoppedCount).toBe(0);
+    vm.answerAttempt();
+    vm.sendOrder('later', vm.buildId('n'));
+    vitest.expect([vm.formatOutcome('r'), vm.formatOutcome('joined'), vm.formatOutcome('later')])
+      .toEqual(['unknown deadline-exceeded', 'answered', 'answered']);
+    vitest.expect([vm.stoppedCount, vm.listAttempts().length]).toEqual([1, 1]);
+  });
+
+  vitest.it('says "not run" after a cancellation only with a confirmation (guards against false "not run")', () => {
+    const told = (['confirmed-not-run', 'silent'] as const).map((confirmation) => {
+      const vm = new testVm.TestVm();
+      vm.sendOrder('r', vm.buildId('n'));
+      vm.requests.post({ type: 'caller-gone', requestId: 'r' });
+      vitest.expect(vm.outputs.at(-1)?.type).toBe('cancel-attempt');
+      vm.endAttempt({ type: 'cancelled', confirmation });
+      vm.sendOrder('repeat', vm.buildId('n'));
+      return vm.formatOutcome('repeat');
+    });
+    vitest.expect(told).toEqual(['not-run cancelled', 'unknown cancelled']);
+  });
+
+  vitest.it('weakens "not run" of a read once an attempt may have run (guards against false "not run")', () => {
+    const vm = new testVm.TestVm();
+    fillBudget(vm);
+    vm.read('r');
+    vm.endAttempt({ type: 'reset' });
+    vm.endAttempt({ type: 'refused' });
+    vm.endAttempt({ type: 'refused' });
+    vitest.expect(vm.formatOutcome('r')).toBe('unknown upstream-reset');
+  });
+
+  vitest.it('hedges a slow read and releases the loser once (guards against leaked slots)', () => {
+    const vm = new testVm.TestVm({ hedgeAfterMs: 50 });
+    fillBudget(vm);
+    vm.read('r');
+    vm.timers.advanceTo(60);
+    const [loser, winner] = vm.listAttempts().slice(-2);
+    vm.answerAttempt({}, winner!.attemptId);
+    vitest.expect(vm.outputs.at(-1)).toEqual({ type: 'cancel-attempt', attemptId: loser!.attemptId });
+    vm.endAttempt({ type: 'cancelled', confirmation: 'silent' }, loser!.attemptId);
+    vm.answerAttempt({}, loser!.attemptId);
+    vitest.expect(vm.formatOutcome('r')).toBe('answered');
+    vitest.expect([vm.observed.get(winner!.attemptId), vm.observed.get(loser!.attemptId)]).toEqual([['on-time'], ['withdrawn']]);
+  });
+
+  vitest.it('releases an attempt whose connection never reports (guards against leaked slots and a shutdown that never ends)', () => {
+    const vm = new testVm.TestVm();
+    vm.read('r');
+    vm.sendOrder('o', vm.buildId('n'));
+    vm.stop();
+    vm.timers.advanceTo(60_000);
+    vitest.expect([...vm.observed.values()]).toEqual([['timed-out'], ['timed-out']]);
+    vitest.expect([vm.stoppedCount, vm.evidence.length]).toEqual([1, 2]);
+  });
+
+  vitest.it('streams a large answer to a local caller only (guards against partial answers)', () => {
+    const vm = new testVm.TestVm();
+    vm.read('r');
+    const [attempt] = vm.listAttempts();
+    vm.requests.post({ type: 'attempt-overflowed', attemptId: attempt!.attemptId, echo: 'matched' });
+    vitest.expect(vm.outputs.at(-1)?.type).toBe('stream-attempt');
+    vm.endAttempt({ type: 'stream-broken' });
+    vitest.expect(vm.formatOutcome('r')).toBe('none');
+    vitest.expect(vm.evidence.at(-1)).toMatchObject({ outcome: 'unknown' });
+    vm.read('s');
+    vm.requests.post({ type: 'attempt-overflowed', attemptId: vm.listAttempts()[1]!.attemptId, echo: 'mismatched' });
+    vitest.expect(vm.outputs.at(-1)?.type).toBe('cancel-attempt');
+  });
+
+  vitest.it('answers by what the VM knows (guards against "not run" from a VM that is not the home)', () => {
+    const vm = new testVm.TestVm();
+    vm.sendOrder('no-id', undefined);
+    vitest.expect(vm.listOutcomes('no-id')).toEqual([{
+      type: 'not-run', reason: 'operation-id-required', retryAfterMs: 0, operationPrefix: 'vm-1.vm-1x.0',
+    }]);
+    vm.read('service', { service: 'none' });
+    vm.read('kind', { path: '/other' });
+    vm.read('member', { member: 'none' });
+    vm.sendOrder('id', 'no id');
+    vm.sendOrder('away', 'vm-9.x.0.n');
+    vm.requests.post({ type: 'peer-unknown', to: 'vm-9' });
+    vm.stop();
+    vm.read('stopped');
+    vm.sendOrder('stopped-home', vm.buildId('n'));
+    vm.sendOrder('stopped-away', 'vm-9.x.0.n');
+    const bare = new testVm.TestVm({ document: 'missing' });
+    bare.read('read');
+    bare.sendOrder('home', bare.buildId('n'));
+    bare.acceptDocument();
+    bare.sendOrder('repeat', bare.buildId('n'));
+    vitest.expect(['service', 'kind', 'member', 'id', 'away', 'stopped', 'stopped-home', 'stopped-away'].map((name) => vm.formatOutcome(name))).toEqual([
+      'not-run unknown-service', 'not-run unknown-kind', 'not-run unknown-member', 'not-run operation-id-invalid', 'unknown home-gone',
+      'not-run stopping', 'not-run stopping', 'unknown stopping',
+    ]);
+    vitest.expect(['read', 'home', 'repeat'].map((name) => bare.formatOutcome(name)))
+      .toEqual(['not-run no-configuration', 'not-run no-configuration', 'not-run no-configuration']);
+  });
+});
--- /dev/null
+++ b/packages/core/test/contracts/OperationLedger.test.ts
@@ -0,0 +1,99 @@
+import * as core from '@tamarackferry/core';
+import * as vitest from 'vitest';
+
+import * as endlessEpochs from '../faults/EndlessEpochs.js';
+import * as forgetfulLedger from '../faults/ForgetfulLedger.js';
+import * as rules from '../faults/rules.js';
+import * as testVm from '../TestVm.js';
+
+const RETENTION = new core.contracts.AnswerRetention();
+
+function buildLedgerRules(maxEntries: number): Partial<core.vms.VmRules> {
+  return rules.buildContractRules({
+    createLedger: (epochs) => new core.contracts.OperationLedger({ epochs, retention: RETENTION, maxEntries }),
+  });
+}
+
+function getPrefix(vm: testVm.TestVm): string | undefined {
+  let prefix: string | undefined;
+  vm.ledger.post({
+    type: 'prefix-requested',
+    requestId: 'p',
+    replyTo: {
+      post: (reply) => {
+        if (reply.type === 'prefix') prefix = reply.prefix;
+      },
+    },
+  });
+  return prefix;
+}
+
+function checkClosedEpoch(options: testVm.TestVmOptions): boolean {
+  const vm = new testVm.TestVm(options);
+  const told = [599_999, 600_000].map((atMs) => {
+    vm.timers.advanceTo(atMs);
+    vm.sendOrder(`r-${atMs}`, vm.buildId(`n${atMs}`));
+    return vm.listAttempts().length;
+  });
+  return told.join() === '1,1' && vm.formatOutcome('r-600000') === 'unknown operation-epoch-closed';
+}
+
+function checkNotRunIsFinal(options: testVm.TestVmOptions): boolean {
+  const vm = new testVm.TestVm(options);
+  vm.sendOrder('r', vm.buildId('n'), { deadlineMs: 0 });
+  vm.sendOrder('repeat', vm.buildId('n'));
+  return vm.listAttempts().length === 0 && vm.formatOutcome('repeat') === 'not-run deadline-exceeded';
+}
+
+vitest.describe('OperationLedger', () => {
+  vitest.it('runs nothing of a closed epoch (guards against duplicates whose record is gone)', () => {
+    vitest.expect(checkClosedEpoch({})).toBe(true);
+    const endless = rules.buildContractRules({ createEpochs: (startedAtMs) => new endlessEpochs.EndlessEpochs(startedAtMs) });
+    vitest.expect(checkClosedEpoch({ rules: endless })).toBe(false);
+  });
+
+  vitest.it('records "not run" for good (guards against a late duplicate that runs)', () => {
+    vitest.expect(checkNotRunIsFinal({})).toBe(true);
+    const forgetful = rules.buildContractRules({
+      createLedger: (epochs) => new forgetfulLedger.ForgetfulLedger({ epochs, retention: RETENTION, maxEntries: 10 }),
+    });
+    vitest.expect(checkNotRunIsFinal({ rules: forgetful })).toBe(false);
+  });
+
+  vitest.it('evicts no admitted entry and stops prefixes at 90% (guards against duplicates after an overload)', () => {
+    const vm = new testVm.TestVm({ rules: buildLedgerRules(10) });
+    const tell = (nonce: string): string => {
+      vm.sendOrder(nonce, vm.buildId(nonce));
+      vm.answerAttempt();
+      return vm.formatOutcome(nonce);
+    };
+    const prefixes = Array.from({ length: 10 }, (_, index) => {
+      const prefix = getPrefix(vm);
+      tell(`n${index}`);
+      return prefix;
+    });
+    vitest.expect(prefixes).toEqual([...Array.from({ length: 9 }, () => 'vm-1.vm-1x.0'), undefined]);
+    vitest.expect(tell('fresh')).toBe('unknown ledger-full');
+    vm.sendOrder('repeat', vm.buildId('n0'));
+    vitest.expect(vm.formatOutcome('repeat')).toBe('answered');
+    vm.timers.advanceTo(600_000);
+    vitest.expect(getPrefix(vm)).toBe('vm-1.vm-1x.10');
+    vm.ledger.post({ type: 'stop-issuing' });
+    vitest.expect(getPrefix(vm)).toBe(undefined);
+  });
+
+  vitest.it('keeps small answers and recognises other requests (guards against swapped and unbounded answers)', () => {
+    const vm = new testVm.TestVm();
+    const answer = { status: 200, headers: [], body: new Uint8Array(16 * 1_024 + 1) };
+    vm.sendOrder('large', vm.buildId('large'));
+    vm.answerAttempt({ answer });
+    vm.sendOrder('repeat', vm.buildId('large'));
+    vitest.expect([vm.formatOutcome('large'), vm.formatOutcome('repeat')]).toEqual(['answered', 'unknown answer-not-kept']);
+    vm.sendOrder('body', vm.buildId('large'), { digest: 'other' });
+    vm.sendOrder('member', vm.buildId('large'), { member: 'archive' });
+    vitest.expect([vm.formatOutcome('body'), vm.formatOutcome('member')])
+      .toEqual(['not-run operation-id-reused', 'not-run operation-id-reused']);
+    vm.sendOrder('gone', 'vm-1.other.0.n');
+    vitest.expect(vm.formatOutcome('gone')).toBe('unknown home-gone');
+  });
+});
--- /dev/null
+++ b/packages/core/test/faults/UnfairAdmissionPolicy.ts
@@ -0,0 +1,34 @@
+import * as core from '@tamarackferry/core';
+
+/** Fault: serves requests in the order of their arrival and sheds whoever comes when the queue is full. */
+export class UnfairAdmissionPolicy extends core.callers.FairAdmissionPolicy {
+  private readonly waiting = new Set<core.callers.RequestInProgress>();
+
+  override insert(request: core.callers.RequestInProgress): core.callers.RequestInProgress | undefined {
+    if (this.waiting.size >= 500) return request;
+    this.waiting.add(request);
+    return undefined;
+  }
+
+  override takeNext(): core.callers.RequestInProgress | undefined {
+    const [request] = this.waiting;
+    if (request !== undefined) this.waiting.delete(request);
+    return request;
+  }
+
+  override release(request: core.callers.RequestInProgress): void {
+    this.waiting.add(request);
+  }
+
+  override remove(request: core.callers.RequestInProgress): void {
+    this.waiting.delete(request);
+  }
+
+  override countBefore(): number {
+    return this.waiting.size;
+  }
+
+  override count(): number {
+    return this.waiting.size;
+  }
+}
--- a/packages/entry/src/upstreams/UpstreamConnections.ts
+++ b/packages/entry/src/upstreams/UpstreamConnections.ts
@@ -57,13 +57,14 @@
       headers: {
         ...Object.fromEntries(request.headers),
         'tamarack-request-id': attempt.attemptId,
-        'tamarack-deadline-ms': String(Math.floor(attempt.timeoutMs)),
+        'tamarack-deadline-ms': String(Math.floor(attempt.deadlineMs)),
       },
       body: request.body.length > 0 ? request.body : null,
       signal: abort.signal,
       headersTimeout: attempt.timeoutMs,
       bodyTimeout: attempt.timeoutMs,
     });
+    const echoed = response.headers['tamarack-request-id'];
     const body = new Uint8Array(await response.body.arrayBuffer());
     return {
       type: 'answered',
@@ -72,13 +73,17 @@
         headers: Object.entries(response.headers).map(([name, value]) => [name, Array.isArray(value) ? value.join(', ') : value ?? ''] as const),
         body,
       },
-      echo: 'absent',
+      echo: echoed === undefined ? 'absent' : UpstreamConnections.compareEcho(echoed, attempt.attemptId),
       notRun: undefined,
       drain: undefined,
       load: undefined,
     };
   }
 
+  private static compareEcho(echoed: string | string[], attemptId: string): 'matched' | 'mismatched' {
+    return echoed === attemptId ? 'matched' : 'mismatched';
+  }
+
   private getPool(instance: core.upstreams.InstanceAddress): undici.Pool {
     const origin = `http://${instance.host}:${instance.port}`;
     const known = this.pools.get(origin);
