--- a/packages/core/src/callers/AddressTask.ts
+++ b/packages/core/src/callers/AddressTask.ts
@@ -1,42 +1,97 @@
-import type * as contracts from '../contracts/index.js';
+import type * as places from '../places/index.js';
 import * as tasks from '../tasks/index.js';
 import type * as vms from '../vms/index.js';
+import type * as addressChoice from './AddressChoice.js';
 import type * as addressMessage from './AddressMessage.js';
 
+// Before a document is in force, any service name may be asked for.
+const FRONTING_LIMIT = 4_096;
+
 /** Owns the choice of the VMs that callers of a service use. */
 export class AddressTask extends tasks.Task<addressMessage.AddressMessage> {
-  private document: contracts.DeploymentDocument | undefined;
+  private services: ReadonlySet<string> | undefined;
+
+  private state: 'starting' | 'serving' | 'leaving' = 'starting';
+
+  private peers: readonly vms.PeerView[] = [];
+
+  // Fronting sets of the present view, computed when they are first asked for.
+  private readonly fronting = new Map<string, readonly vms.VmIdentity[]>();
+
+  // Queries that wait for the operation prefix of the ledger.
+  private readonly waiting = new Map<string, string>();
+
+  private readonly frontingSet: places.FrontingSet;
+
+  private readonly choice: addressChoice.AddressChoice;
 
   /** @param context - Surroundings of the tasks of the VM. */
   constructor(private readonly context: vms.VmContext) {
     super(context.scheduler);
+    this.frontingSet = context.rules.callers.createFrontingSet();
+    this.choice = context.rules.callers.createAddressChoice(context.random);
   }
 
   /** @internal */
   override handle(message: addressMessage.AddressMessage): void {
-    if (message.type === 'document-accepted') this.document = message.document;
-    if (message.type === 'query') this.answerQuery(message.queryId, message.service);
+    switch (message.type) {
+      case 'query':
+        this.receiveQuery(message.queryId, message.service);
+        break;
+      case 'document-accepted':
+        this.services = new Set(message.document.services.map((service) => service.name));
+        this.fronting.clear();
+        break;
+      case 'state-changed':
+        this.state = message.state;
+        this.fronting.clear();
+        break;
+      case 'view-changed':
+        this.peers = message.peers;
+        this.fronting.clear();
+        break;
+      case 'prefix':
+        this.answerQuery(message.requestId, message.prefix);
+        break;
+      default:
+        break;
+    }
   }
 
-  private answerQuery(queryId: string, service: string): void {
-    const { identity, outbox, addressValidityMs } = this.context;
-    const declared = this.document?.services.some((contract) => contract.name === service);
-    if (declared === undefined) {
-      outbox.post({ type: 'address-answer', queryId, answer: { type: 'not-ready' } });
+  private receiveQuery(queryId: string, service: string): void {
+    if (this.services !== undefined && !this.services.has(service)) {
+      this.context.outbox.post({ type: 'address-answer', queryId, answer: { type: 'unknown-service', service } });
       return;
     }
-    outbox.post({
+    this.waiting.set(queryId, service);
+    // Only a serving VM runs operations, so only it hands out its prefix.
+    if (this.state === 'serving') this.context.mailboxes.ledger.post({ type: 'prefix-requested', requestId: queryId, replyTo: this });
+    else this.answerQuery(queryId, undefined);
+  }
+
+  private answerQuery(queryId: string, operationPrefix: string | undefined): void {
+    const service = this.waiting.get(queryId);
+    if (service === undefined) return;
+    this.waiting.delete(queryId);
+    const addresses = this.choice.chooseAddresses(this.listFronting(service)).map((member) => ({
+      vm: member.name, host: member.host, port: member.port, place: member.place,
+    }));
+    this.context.outbox.post({
       type: 'address-answer',
       queryId,
-      answer: declared ? {
-        type: 'addresses',
-        service,
-        addresses: [{
-          vm: identity.name, host: identity.host, port: identity.port, place: identity.place,
-        }],
-        validForMs: addressValidityMs,
-        operationPrefix: undefined,
-      } : { type: 'unknown-service', service },
+      answer: addresses.length === 0 ? { type: 'not-ready' } : {
+        type: 'addresses', service, addresses, validForMs: this.context.addressValidityMs, operationPrefix,
+      },
     });
   }
+
+  private listFronting(service: string): readonly vms.VmIdentity[] {
+    const known = this.fronting.get(service);
+    if (known !== undefined) return known;
+    const others = this.peers.filter((peer) => this.choice.isUsable(peer)).map((peer) => peer.identity);
+    const usable = this.state === 'serving' ? [this.context.identity, ...others] : others;
+    const members = this.frontingSet.chooseMembers(service, usable);
+    if (this.fronting.size < FRONTING_LIMIT) this.fronting.set(service, members);
+    return members;
+  }
 }
--- a/packages/core/src/callers/EvidenceMessage.ts
+++ b/packages/core/src/callers/EvidenceMessage.ts
@@ -47,8 +47,15 @@
 }
   | contracts.DocumentAccepted
   | { readonly type: 'report-requested'; readonly queryId: string; readonly member: string; readonly replyTo: tasks.Mailbox<EvidenceReply> }
+  /** Flushes at once, at the end of a graceful shutdown. */
+  | { readonly type: 'flush-requested'; readonly replyTo: tasks.Mailbox<EvidenceFlushed> }
   | { readonly type: 'tick' };
 
+/** Answer to `flush-requested`. */
+export interface EvidenceFlushed {
+  readonly type: 'evidence-flushed';
+}
+
 /** Answer to `report-requested`. */
 export interface EvidenceReply {
   readonly type: 'member-report';
--- /dev/null
+++ b/packages/core/src/callers/MemberHistogram.ts
@@ -0,0 +1,35 @@
+import * as hdrHistogram from 'hdr-histogram-js';
+
+const MAX_LATENCY_MS = 60_000;
+
+/** Latencies of one member, kind and service, in bounded memory. */
+export class MemberHistogram {
+  // Two significant digits keep a histogram at a few kilobytes.
+  private readonly histogram = hdrHistogram.build({
+    bitBucketSize: 32,
+    autoResize: false,
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: MAX_LATENCY_MS,
+    numberOfSignificantValueDigits: 2,
+  });
+
+  /**
+   * Records a latency.
+   * @param latencyMs - Latency in milliseconds; longer ones count as 60 s.
+   */
+  recordLatency(latencyMs: number): void {
+    this.histogram.recordValue(Math.min(MAX_LATENCY_MS, Math.max(0, Math.ceil(latencyMs))));
+  }
+
+  /** Computes upper bounds of the latency quantiles in milliseconds. */
+  computeQuantiles(): { readonly p50: number; readonly p99: number; readonly max: number } {
+    return {
+      p50: this.histogram.getValueAtPercentile(50), p99: this.histogram.getValueAtPercentile(99), max: this.histogram.maxValue,
+    };
+  }
+
+  /** Removes all latencies. */
+  reset(): void {
+    this.histogram.reset();
+  }
+}
--- a/packages/core/src/callers/index.ts
+++ b/packages/core/src/callers/index.ts
@@ -1,8 +1,14 @@
+export * from './AddressChoice.js';
 export type * from './AddressMessage.js';
 export * from './AddressTask.js';
 export type * from './CallerRequest.js';
 export * from './CallerRules.js';
 export type * from './EvidenceMessage.js';
+export * from './EvidenceTally.js';
 export * from './EvidenceTask.js';
+export * from './LookupsOnTimeCount.js';
+export * from './MemberCount.js';
+export * from './MemberHistogram.js';
 export type * from './RequestMessage.js';
 export * from './RequestTask.js';
+export * from './WeightedOnTimeCount.js';
--- a/packages/core/src/contracts/ConfigurationMessage.ts
+++ b/packages/core/src/contracts/ConfigurationMessage.ts
@@ -3,16 +3,26 @@
 import type * as documentFailure from './DocumentFailure.js';
 import type * as documentReference from './DocumentReference.js';
 
+/** A peer named its newest document, or none. */
+export interface PeerDocument {
+  readonly type: 'peer-document';
+  readonly from: string;
+  readonly place: string;
+  readonly document: documentReference.DocumentReference | undefined;
+  /** `answer`: reply to an exchange of this incarnation; counts for the start. `news`: anything else. */
+  readonly way: 'answer' | 'news';
+}
+
 /** Message to the `ConfigurationTask`. */
 export type ConfigurationMessage = | { readonly type: 'published'; readonly text: string }
   | { readonly type: 'platform-failed' }
-  /** A peer named its accepted document, or none. */
-  | { readonly type: 'peer-document'; readonly from: string; readonly document: documentReference.DocumentReference | undefined }
+  | PeerDocument
   | { readonly type: 'peer-text'; readonly from: string; readonly text: string }
   | { readonly type: 'peer-request'; readonly from: string }
   /** Number of other VMs that the platform's list names. */
   | { readonly type: 'listed-peers'; readonly count: number }
   | { readonly type: 'status-requested'; readonly replyTo: tasks.Mailbox<ConfigurationStatus> }
+  | { readonly type: 'retry-due' }
   | { readonly type: 'tick' };
 
 /** Published to the tasks of the VM when a document is accepted. */
--- a/packages/core/src/contracts/ConfigurationTask.ts
+++ b/packages/core/src/contracts/ConfigurationTask.ts
@@ -1,48 +1,229 @@
+import * as neverthrow from 'neverthrow';
+
 import * as tasks from '../tasks/index.js';
 import type * as vms from '../vms/index.js';
 import type * as configurationMessage from './ConfigurationMessage.js';
+import * as conflictRecord from './ConflictRecord.js';
 import type * as deploymentDocument from './DeploymentDocument.js';
 import type * as documentFailure from './DocumentFailure.js';
+import type * as documentOrder from './DocumentOrder.js';
+import * as documentSeek from './DocumentSeek.js';
+import type * as startupCheck from './StartupCheck.js';
+
+const TICK_PERIOD_MS = 1_000;
+
+// Peers that get no text ask another holder, so a large document spreads over many holders instead of one.
+const TEXT_BYTES_PER_TICK = 2 ** 19;
+
+const STARTUP_ANSWER_LIMIT = 64;
 
 /** Owns the document in force and decides which published documents are accepted. */
 export class ConfigurationTask extends tasks.Task<configurationMessage.ConfigurationMessage> {
-  private document: deploymentDocument.DeploymentDocument | undefined;
+  // Newest document. It is in force once the VM serves.
+  private held: deploymentDocument.DeploymentDocument | undefined;
+
+  private phase: 'starting' | 'serving' = 'starting';
+
+  private waitingFor = 'a document';
 
   private refusal: documentFailure.DocumentFailure | undefined;
 
+  // The platform repeats its text with each read; its seal is verified once.
+  private refusedText: string | undefined;
+
+  private platform: 'reachable' | 'failed' | 'unread' = 'unread';
+
+  private platformDocument: 'read' | 'unread' = 'unread';
+
+  private standing: 'current' | 'behind' = 'current';
+
+  private listedPeers: number | undefined;
+
+  private waitedMs = 0;
+
+  private textBytesLeft = TEXT_BYTES_PER_TICK;
+
+  private retry: 'scheduled' | 'none' = 'none';
+
+  private readonly answers = new Map<string, startupCheck.StartupAnswer>();
+
+  private readonly conflicts = new conflictRecord.ConflictRecord();
+
+  private readonly order: documentOrder.DocumentOrder;
+
+  private readonly startup: startupCheck.StartupCheck;
+
+  private readonly seek: documentSeek.DocumentSeek;
+
   /** @param context - Surroundings of the tasks of the VM. */
   constructor(private readonly context: vms.VmContext) {
     super(context.scheduler);
+    this.order = context.rules.contracts.createDocumentOrder();
+    this.startup = context.rules.contracts.createStartupCheck();
+    this.seek = new documentSeek.DocumentSeek(this.order);
+    context.timers.subscribe({
+      mailbox: this, message: { type: 'tick' }, delayMs: context.random.drawInteger(TICK_PERIOD_MS), periodMs: TICK_PERIOD_MS,
+    });
   }
 
   /** @internal */
   override handle(message: configurationMessage.ConfigurationMessage): void {
     switch (message.type) {
       case 'published':
-        this.context.codec.decode(message.text).match(
-          (document) => this.accept(document),
-          (failure) => {
-            this.refusal = failure;
-          },
-        );
+        this.receivePublished(message.text);
+        break;
+      case 'platform-failed':
+        this.platform = 'failed';
+        break;
+      case 'peer-document':
+        this.recordPeerDocument(message);
+        break;
+      case 'peer-text':
+        this.readText(message.text);
+        break;
+      case 'peer-request':
+        this.sendText(message.from);
+        break;
+      case 'listed-peers':
+        this.listedPeers = message.count;
+        this.evaluateStart();
         break;
       case 'status-requested':
-        message.replyTo.post({
-          type: 'configuration-status',
-          document: this.document?.reference,
-          waitingFor: this.document === undefined ? 'a document' : '',
-          platform: 'unread',
-          refusal: this.refusal,
-          conflicts: [],
-        });
+        this.reportStatus(message.replyTo);
         break;
-      default:
+      case 'retry-due':
+        this.retry = 'none';
+        this.requestText(this.context.timers.getNowMs());
         break;
+      case 'tick':
+        this.runTick();
+        break;
+      // no default
+    }
+  }
+
+  private receivePublished(text: string): void {
+    this.platform = 'reachable';
+    // An older document from the platform counts as read: this VM holds a newer one from a peer.
+    if (this.readText(text) === 'valid') this.platformDocument = 'read';
+    this.evaluateStart();
+  }
+
+  private readText(text: string): 'valid' | 'refused' {
+    if (text === this.held?.text) return 'valid';
+    if (text === this.refusedText) return 'refused';
+    return this.decodeText(text).match<'valid' | 'refused'>(
+      (document) => {
+        this.evaluateDocument(document);
+        return 'valid';
+      },
+      (failure) => {
+        this.refusedText = text;
+        this.refusal = failure;
+        this.log('warn', `refused a document, ${failure.type}`);
+        return 'refused';
+      },
+    );
+  }
+
+  private decodeText(text: string): neverthrow.Result<deploymentDocument.DeploymentDocument, documentFailure.DocumentFailure> {
+    const { codec, deployment } = this.context;
+    return codec.decode(text).andThen((document) => (document.deployment === deployment
+      ? neverthrow.ok(document)
+      : neverthrow.err({ type: 'other-deployment', found: document.deployment, expected: deployment } as const)));
+  }
+
+  private evaluateDocument(document: deploymentDocument.DeploymentDocument): void {
+    const { reference } = document;
+    this.recordConflict(reference);
+    if (!this.order.isNewer(reference, this.held?.reference)) {
+      const accepted = this.held?.reference.version ?? 0;
+      if (reference.version < accepted) this.refusal = { type: 'older-version', found: reference.version, accepted };
+      return;
     }
+    this.held = document;
+    this.updateStanding('changed');
+    this.context.mailboxes.peers.post({ type: 'push', message: { type: 'document-announced', document: reference } });
+    if (this.phase === 'serving') this.publishDocument(document);
+    else this.evaluateStart();
   }
 
-  private accept(document: deploymentDocument.DeploymentDocument): void {
-    this.document = document;
+  private recordPeerDocument(message: configurationMessage.PeerDocument): void {
+    const { document } = message;
+    const nowMs = this.context.timers.getNowMs();
+    if (document !== undefined) {
+      this.recordConflict(document);
+      this.seek.recordNamed(message.from, document, nowMs);
+      this.requestText(nowMs);
+    }
+    if (this.phase === 'serving') return;
+    if (message.way === 'answer' && (this.answers.has(message.from) || this.answers.size < STARTUP_ANSWER_LIMIT)) {
+      this.answers.set(message.from, { place: message.place, document });
+    }
+    this.evaluateStart();
+  }
+
+  private requestText(nowMs: number): void {
+    const holder = this.seek.takeHolder(this.held?.reference, nowMs);
+    if (holder !== undefined) this.context.mailboxes.peers.post({ type: 'send', to: holder, message: { type: 'document-requested' } });
+    const delayMs = this.seek.getRetryDelayMs(this.held?.reference, nowMs);
+    if (delayMs === undefined || this.retry === 'scheduled') return;
+    this.retry = 'scheduled';
+    this.context.timers.subscribe({ mailbox: this, message: { type: 'retry-due' }, delayMs });
+  }
+
+  private sendText(to: string): void {
+    if (this.held === undefined || this.textBytesLeft <= 0) return;
+    this.textBytesLeft -= this.held.text.length;
+    this.context.mailboxes.peers.post({ type: 'send', to, message: { type: 'document', text: this.held.text } });
+  }
+
+  private recordConflict(reference: deploymentDocument.DeploymentDocument['reference']): void {
+    const rivals = [this.held?.reference, this.seek.getNewest()];
+    const rival = rivals.find((other) => this.conflicts.recordPair(reference, other) === 'new');
+    if (rival === undefined) return;
+    this.log('warn', `version ${reference.version} was published with different texts`);
+    // Peers that never saw the losing text learn of the conflict, so that the console finds it on any VM.
+    const document = this.order.isNewer(rival, reference) ? reference : rival;
+    this.context.mailboxes.peers.post({ type: 'push', message: { type: 'document-announced', document } });
+  }
+
+  private runTick(): void {
+    this.textBytesLeft = TEXT_BYTES_PER_TICK;
+    const nowMs = this.context.timers.getNowMs();
+    this.requestText(nowMs);
+    this.updateStanding('unchanged');
+    if (this.phase === 'serving') return;
+    // Counted in ticks, so that a pause of this VM is not taken for silence of its peers.
+    this.waitedMs += TICK_PERIOD_MS;
+    this.evaluateStart();
+  }
+
+  private evaluateStart(): void {
+    if (this.phase === 'serving') return;
+    this.waitingFor = this.startup.describeWait({
+      held: this.held?.reference,
+      listedPeers: this.listedPeers,
+      answers: [...this.answers.values()],
+      newestNamed: this.seek.getNewest(),
+      platform: this.platformDocument,
+      waitedMs: this.waitedMs,
+    });
+    if (this.waitingFor !== '' || this.held === undefined) return;
+    this.phase = 'serving';
+    this.answers.clear();
+    this.publishDocument(this.held);
+  }
+
+  private updateStanding(document: 'changed' | 'unchanged'): void {
+    const held = this.held?.reference;
+    const standing = this.seek.isBehind(held, this.context.timers.getNowMs()) ? 'behind' : 'current';
+    if (document === 'unchanged' && standing === this.standing) return;
+    this.standing = standing;
+    this.context.mailboxes.peers.post({ type: 'document-standing', held, standing });
+  }
+
+  private publishDocument(document: deploymentDocument.DeploymentDocument): void {
     const { mailboxes, outbox } = this.context;
     const accepted = { type: 'document-accepted', document } as const;
     mailboxes.upstreams.post(accepted);
@@ -53,4 +234,21 @@
     mailboxes.lifecycle.post(accepted);
     outbox.post({ type: 'document-accepted', reference: document.reference });
   }
+
+  private reportStatus(replyTo: tasks.Mailbox<configurationMessage.ConfigurationStatus>): void {
+    replyTo.post({
+      type: 'configuration-status',
+      document: this.phase === 'serving' ? this.held?.reference : undefined,
+      waitingFor: this.waitingFor,
+      platform: this.platform,
+      refusal: this.refusal,
+      conflicts: this.conflicts.listConflicts(),
+    });
+  }
+
+  private log(level: 'info' | 'warn', text: string): void {
+    this.context.outbox.post({
+      type: 'log', prefix: 'contracts', level, text,
+    });
+  }
 }
--- /dev/null
+++ b/packages/core/src/links/ReachabilityCheck.ts
@@ -0,0 +1,107 @@
+const SUSPECT_AFTER_EXCHANGES = 3;
+
+// Reports of third peers take a round trip and up to two ticks; a slower one must not come too late.
+const REPORT_WAIT_MS = 4_000;
+
+const THIRD_ASK_PERIOD_MS = 5_000;
+
+// A one-way cut keeps the peer silent here while others reach it; their reports hold until the next ones must have come.
+const REACHED_BY_OTHERS_MS = 20_000;
+
+const RETRY_MS = 1_000;
+const MAX_RETRY_MS = 64_000;
+
+/** Decides whether a peer is reachable, from its own answers and from what other peers report about it. */
+export class ReachabilityCheck {
+  private state: 'reachable' | 'suspected' | 'unreachable' = 'reachable';
+
+  private unanswered = 0;
+
+  private nextAskMs = -Infinity;
+
+  private nextThirdAskMs = -Infinity;
+
+  private suspectedMs = Infinity;
+
+  private reachedByOtherMs = -Infinity;
+
+  private silentReports = 0;
+
+  /** Gets the state of the peer. */
+  getState(): 'reachable' | 'suspected' | 'unreachable' {
+    return this.state;
+  }
+
+  /** Whether an exchange is outstanding. */
+  isAwaited(): boolean {
+    return this.unanswered > 0;
+  }
+
+  /**
+   * Whether the peer may be asked now. Silent peers are asked at a falling rate.
+   * @param nowMs - Present time in milliseconds.
+   */
+  isDue(nowMs: number): boolean {
+    return nowMs >= this.nextAskMs;
+  }
+
+  /**
+   * Records that an exchange was sent to the peer.
+   * @param nowMs - Present time in milliseconds.
+   */
+  recordAsked(nowMs: number): void {
+    this.unanswered += 1;
+    const doublings = Math.min(16, Math.max(0, this.unanswered - SUSPECT_AFTER_EXCHANGES));
+    // Half a period less than the tick, so that the tick of a peer that is due is not missed by a rounding error.
+    this.nextAskMs = nowMs + Math.min(MAX_RETRY_MS, RETRY_MS * 2 ** doublings) - RETRY_MS / 2;
+  }
+
+  /** Records that a valid message of the peer arrived. */
+  recordHeard(): void {
+    this.state = 'reachable';
+    this.resetCounts();
+    this.nextAskMs = -Infinity;
+  }
+
+  /** Forgets open questions after a pause of this VM, whose answers may have been lost on its own side. */
+  resetCounts(): void {
+    this.unanswered = 0;
+    this.silentReports = 0;
+    if (this.state === 'suspected') this.state = 'reachable';
+  }
+
+  /**
+   * Records the report of a third peer.
+   * @param result - Whether the third peer reached the peer.
+   * @param nowMs - Present time in milliseconds.
+   */
+  recordReport(result: 'reached' | 'silent', nowMs: number): void {
+    if (result === 'silent') {
+      this.silentReports += 1;
+      return;
+    }
+    this.reachedByOtherMs = nowMs;
+    this.silentReports = 0;
+    this.state = 'reachable';
+  }
+
+  /**
+   * Updates the state. Called once per tick.
+   * @param nowMs - Present time in milliseconds.
+   * @returns Whether third peers are to be asked now.
+   */
+  evaluate(nowMs: number): 'ask-others' | 'settled' {
+    if (this.unanswered < SUSPECT_AFTER_EXCHANGES) return 'settled';
+    if (this.state === 'reachable' && nowMs - this.reachedByOtherMs > REACHED_BY_OTHERS_MS) {
+      this.state = 'suspected';
+      this.suspectedMs = nowMs;
+      this.silentReports = 0;
+      this.nextThirdAskMs = nowMs;
+    }
+    // Without any report this VM may itself be the one that is cut off, so the peer stays suspected only.
+    if (this.state === 'suspected' && this.silentReports > 0 && nowMs - this.suspectedMs >= REPORT_WAIT_MS) this.state = 'unreachable';
+    if (nowMs < this.nextThirdAskMs) return 'settled';
+    this.nextThirdAskMs = nowMs + THIRD_ASK_PERIOD_MS * (this.state === 'unreachable' ? 6 : 1);
+    return 'ask-others';
+  }
+}
--- a/packages/core/src/links/index.ts
+++ b/packages/core/src/links/index.ts
@@ -1,2 +1,4 @@
 export type * from './LocalHealthMessage.js';
 export * from './LocalHealthTask.js';
+export * from './ReachabilityCheck.js';
+export * from './SequenceWindow.js';
--- /dev/null
+++ b/packages/core/src/places/RendezvousHash.ts
@@ -0,0 +1,44 @@
+const FNV_OFFSET = 0x811c9dc5;
+const FNV_PRIME = 0x01000193;
+
+/** Ranks names by rendezvous hashing: every VM computes the same order, and a name that goes changes no other's place. */
+export class RendezvousHash {
+  /**
+   * Computes the score of a name for a key, an unsigned 32-bit integer.
+   * @param key - Key that names compete for.
+   * @param name - Name of the competitor.
+   */
+  static computeScore(key: string, name: string): number {
+    const text = `${key}/${name}`;
+    let hash = FNV_OFFSET;
+    // A loop over char codes: ranking a list of thousands of VMs hashes every name.
+    for (let index = 0; index < text.length; index += 1) {
+      // eslint-disable-next-line no-bitwise
+      hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME);
+    }
+    return RendezvousHash.hashBits(hash);
+  }
+
+  /**
+   * Returns items in the order of their scores, highest first.
+   * @param key - Key that the items compete for.
+   * @param items - Items to rank; the array is not changed.
+   * @param getName - Gets the name of an item, which must be unique.
+   */
+  static rankItems<Item>(key: string, items: readonly Item[], getName: (item: Item) => string): Item[] {
+    return items
+      .map((item) => ({ item, name: getName(item), score: RendezvousHash.computeScore(key, getName(item)) }))
+      .sort((left, right) => right.score - left.score || (left.name < right.name ? -1 : 1))
+      .map((ranked) => ranked.item);
+  }
+
+  // FNV leaves names that differ in the last character close together; the finalizer of MurmurHash3 separates them.
+  private static hashBits(seed: number): number {
+    /* eslint-disable no-bitwise */
+    let hash = seed;
+    hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b);
+    hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35);
+    return (hash ^ (hash >>> 16)) >>> 0;
+    /* eslint-enable no-bitwise */
+  }
+}
--- /dev/null
+++ b/packages/core/src/vms/DropLog.ts
@@ -0,0 +1,32 @@
+import type * as vmContext from './VmContext.js';
+
+const LOG_PERIOD_MS = 10_000;
+
+/** Counts peer messages that were dropped, and logs the latest cause at most once in 10 s. */
+export class DropLog {
+  private dropped = 0;
+
+  private lastLogMs = -Infinity;
+
+  /** @param context - Surroundings of the tasks of the VM. */
+  constructor(private readonly context: vmContext.VmContext) {}
+
+  /** Gets the number of dropped messages. */
+  getCount(): number {
+    return this.dropped;
+  }
+
+  /**
+   * Records a dropped message.
+   * @param detail - Why it was dropped.
+   */
+  recordDrop(detail: string): void {
+    this.dropped += 1;
+    const nowMs = this.context.timers.getNowMs();
+    if (nowMs - this.lastLogMs < LOG_PERIOD_MS) return;
+    this.lastLogMs = nowMs;
+    this.context.outbox.post({
+      type: 'log', prefix: 'peers', level: 'warn', text: `dropped a message, ${detail.slice(0, 200)}, ${this.dropped} dropped so far`,
+    });
+  }
+}
--- /dev/null
+++ b/packages/core/src/vms/EnvelopeCheck.ts
@@ -0,0 +1,88 @@
+import * as zod from 'zod';
+
+import * as peerMessage from './PeerMessage.js';
+
+const LIST_LIMIT = 256;
+const BODY_LIMIT_BYTES = 2 ** 24;
+
+const TEXT = zod.string().max(256);
+const NAME = TEXT.min(1);
+const PORT = zod.int().min(0).max(65_535);
+const IDENTITY = zod.object({
+  name: NAME, incarnation: NAME, host: NAME, port: PORT, peerPort: PORT, place: NAME,
+});
+// The asker may not have heard the target yet and then does not know its incarnation.
+const TARGET = IDENTITY.extend({ incarnation: TEXT });
+const REFERENCE = zod.object({ version: zod.int().min(1), digest: TEXT });
+const DRAINS = zod.array(zod.object({ service: TEXT, instance: TEXT, incarnation: TEXT })).max(LIST_LIMIT);
+const EJECTIONS = zod.array(zod.object({ service: TEXT, instances: zod.array(TEXT).max(LIST_LIMIT) })).max(LIST_LIMIT);
+const COUNT = zod.number().min(0);
+const ROW = zod.object({
+  instance: TEXT, incarnation: TEXT, good: COUNT, bad: COUNT,
+});
+const BODY = zod.instanceof(Uint8Array).refine((body) => body.byteLength <= BODY_LIMIT_BYTES);
+const HEADERS = zod.array(zod.tuple([zod.string(), zod.string()]));
+const REQUEST = zod.object({
+  service: TEXT,
+  method: TEXT,
+  path: zod.string(),
+  headers: HEADERS,
+  body: BODY,
+  digest: TEXT,
+  member: TEXT,
+  deadlineMs: COUNT.optional(),
+  operationId: TEXT.optional(),
+});
+const OUTCOME = zod.discriminatedUnion('type', [
+  zod.object({ type: zod.literal('answered'), answer: zod.object({ status: zod.int(), headers: HEADERS, body: BODY }) }),
+  zod.object({ type: zod.literal('not-run'), reason: TEXT, retryAfterMs: COUNT }),
+  zod.object({ type: zod.literal('unknown'), reason: TEXT }),
+]);
+
+const MESSAGE = zod.discriminatedUnion('type', [
+  zod.object({
+    type: zod.literal('exchange'),
+    direction: zod.enum(['request', 'reply']),
+    document: REFERENCE.optional(),
+    state: zod.enum(['starting', 'serving', 'leaving']),
+    drains: DRAINS,
+    ejections: EJECTIONS,
+    peers: zod.array(IDENTITY).max(LIST_LIMIT),
+  }),
+  zod.object({ type: zod.literal('drain'), notices: DRAINS }),
+  zod.object({ type: zod.literal('leaving') }),
+  zod.object({ type: zod.literal('document-announced'), document: REFERENCE }),
+  zod.object({ type: zod.literal('document-requested') }),
+  zod.object({ type: zod.literal('document'), text: zod.string().max(2 ** 20) }),
+  zod.object({ type: zod.literal('evidence-requested'), service: TEXT, instances: zod.array(TEXT).max(LIST_LIMIT) }),
+  zod.object({ type: zod.literal('evidence'), service: TEXT, rows: zod.array(ROW).max(LIST_LIMIT) }),
+  zod.object({ type: zod.literal('reach-requested'), target: TARGET }),
+  zod.object({
+    type: zod.literal('reach-reported'), target: NAME, incarnation: TEXT, result: zod.enum(['reached', 'silent']),
+  }),
+  zod.object({ type: zod.literal('operation-forwarded'), forwardId: TEXT, request: REQUEST }),
+  zod.object({ type: zod.literal('operation-cancelled'), forwardId: TEXT }),
+  zod.object({ type: zod.literal('operation-ended'), forwardId: TEXT, outcome: OUTCOME }),
+]);
+
+const ENVELOPE = zod.object({
+  format: zod.int().min(peerMessage.PEER_FORMAT_VERSION - 1).max(peerMessage.PEER_FORMAT_VERSION + 1),
+  from: IDENTITY,
+  sequence: zod.int().min(0),
+  message: MESSAGE,
+});
+
+/** Checks the values of peer envelopes, whatever their encoding was. */
+export class EnvelopeCheck {
+  /**
+   * Describes what is wrong with an envelope. Fields of a later format that this program does not know are ignored.
+   * @param envelope - Envelope that the transport delivered.
+   * @returns Undefined if the envelope can be handled.
+   */
+  findFault(envelope: peerMessage.PeerEnvelope): string | undefined {
+    const result = ENVELOPE.safeParse(envelope);
+    if (result.success) return undefined;
+    const issue = result.error.issues[0];
+    return `${issue?.path.join('.') ?? ''} is wrong`;
+  }
+}
--- a/packages/core/src/vms/LifecycleTask.ts
+++ b/packages/core/src/vms/LifecycleTask.ts
@@ -2,6 +2,9 @@
 import type * as lifecycleMessage from './LifecycleMessage.js';
 import type * as vmContext from './VmContext.js';
 
+// Peers that missed the announcement name this VM to callers until one of the repeated announcements reaches them.
+const ANNOUNCEMENT_MS = 5_000;
+
 /** Owns the state of the VM from its start to the end of a graceful shutdown. */
 export class LifecycleTask extends tasks.Task<lifecycleMessage.LifecycleMessage> {
   private state: 'starting' | 'serving' | 'leaving' = 'starting';
@@ -29,6 +32,9 @@
         this.context.mailboxes.requests.post({ type: 'stop', replyTo: this });
         break;
       case 'requests-ended':
+        this.context.mailboxes.evidence.post({ type: 'flush-requested', replyTo: this });
+        break;
+      case 'evidence-flushed':
         this.context.outbox.post({ type: 'stopped' });
         break;
       // no default
@@ -40,7 +46,9 @@
     this.notifyState('leaving');
     this.context.mailboxes.ledger.post({ type: 'stop-issuing' });
     // Callers may use a kept address answer until its validity expires; requests are served until then.
-    this.context.timers.subscribe({ mailbox: this, message: { type: 'validity-expired' }, delayMs: this.context.addressValidityMs });
+    this.context.timers.subscribe({
+      mailbox: this, message: { type: 'validity-expired' }, delayMs: this.context.addressValidityMs + ANNOUNCEMENT_MS,
+    });
   }
 
   private notifyState(state: 'serving' | 'leaving'): void {
--- /dev/null
+++ b/packages/core/src/vms/PartialView.ts
@@ -0,0 +1,143 @@
+import * as places from '../places/index.js';
+import type * as randomness from '../randomness/index.js';
+import type * as listEntry from './ListEntry.js';
+import * as peerModule from './Peer.js';
+import type * as peerRules from './PeerRules.js';
+import type * as vmIdentity from './VmIdentity.js';
+
+const ACTIVE_LIMIT = 24;
+
+// A VM that the list does not name stays known for this time after its last message.
+const ABSENT_KEEP_MS = 60_000;
+
+const DIRECTORY_LIMIT = 10_000;
+
+/** Options of a `PartialView`. */
+export interface PartialViewOptions {
+  /** Identity of this VM, which is not its own peer. */
+  readonly identity: vmIdentity.VmIdentity;
+  readonly random: randomness.RandomSource;
+  readonly rules: peerRules.PeerRules;
+}
+
+/** Known VMs, and the bounded set of active peers among them that this VM exchanges messages with. */
+export class PartialView {
+  private readonly peers = new Map<string, peerModule.Peer>();
+
+  private active: peerModule.Peer[] = [];
+
+  /** @param options - Identity, randomness and rules. */
+  constructor(private readonly options: PartialViewOptions) {}
+
+  /** Lists all known peers. */
+  listPeers(): peerModule.Peer[] {
+    return [...this.peers.values()];
+  }
+
+  /** Lists the active peers. */
+  listActive(): readonly peerModule.Peer[] {
+    return this.active;
+  }
+
+  /**
+   * Finds a known peer.
+   * @param name - Name of the VM.
+   */
+  findPeer(name: string): peerModule.Peer | undefined {
+    return this.peers.get(name);
+  }
+
+  /**
+   * Adds a VM unless it is known.
+   * @param identity - Address of the VM.
+   * @param nowMs - Present time in milliseconds.
+   * @returns The peer; undefined if it is this VM or the directory is full.
+   */
+  addPeer(identity: vmIdentity.VmIdentity, nowMs: number): peerModule.Peer | undefined {
+    const known = this.peers.get(identity.name);
+    if (known !== undefined) return known;
+    if (identity.name === this.options.identity.name || this.peers.size >= DIRECTORY_LIMIT) return undefined;
+    const peer = new peerModule.Peer(identity, nowMs, this.options.rules);
+    this.peers.set(identity.name, peer);
+    if (this.active.length < ACTIVE_LIMIT) this.active.push(peer);
+    return peer;
+  }
+
+  /**
+   * Applies the platform's list, or the peers of the settings.
+   * @param entries - Entry VMs of the list.
+   * @param nowMs - Present time in milliseconds.
+   * @returns Number of other VMs that are listed as live.
+   */
+  applyList(entries: readonly listEntry.EntryVmListEntry[], nowMs: number): number {
+    const others = entries.filter((entry) => entry.name !== this.options.identity.name);
+    this.peers.forEach((peer) => {
+      // eslint-disable-next-line no-param-reassign -- the view owns its peers
+      peer.listing = 'absent';
+    });
+    const hasRoom = this.peers.size < ACTIVE_LIMIT;
+    others.forEach((entry) => {
+      const {
+        name, host, port, peerPort, place,
+      } = entry;
+      const address = {
+        name, incarnation: '', host, port, peerPort, place,
+      };
+      const peer = this.addPeer(address, nowMs);
+      if (peer === undefined) return;
+      peer.listing = entry.state;
+      if (!peer.isHeard()) peer.identity = address;
+    });
+    if (hasRoom && this.peers.size > ACTIVE_LIMIT) this.fillActive();
+    return others.filter((entry) => entry.state === 'live').length;
+  }
+
+  /**
+   * Removes VMs that neither the list nor a recent message names.
+   * @param nowMs - Present time in milliseconds.
+   */
+  pruneAbsent(nowMs: number): void {
+    this.peers.forEach((peer, name) => {
+      if (peer.listing !== 'absent' || nowMs - Math.max(peer.lastHeardMs, peer.addedMs) < ABSENT_KEEP_MS) return;
+      this.peers.delete(name);
+      this.active = this.active.filter((other) => other !== peer);
+    });
+  }
+
+  /** Exchanges one active peer for one that is not active, so that every known VM is heard from time to time. */
+  rotateActive(): void {
+    const { random } = this.options;
+    if (this.peers.size <= this.active.length) return;
+    const active = new Set(this.active);
+    // The one that was left alone longest, so that the time until a dead VM is noticed is bounded.
+    const inactive = this.listPeers().filter((peer) => !active.has(peer));
+    const oldestMs = inactive.reduce((oldest, peer) => Math.min(oldest, peer.getLastContactMs()), Infinity);
+    const candidate = random.pickItem(inactive.filter((peer) => peer.getLastContactMs() === oldestMs));
+    if (candidate === undefined) return;
+    if (this.active.length >= ACTIVE_LIMIT) {
+      const samePlace = this.active.filter((peer) => peer.identity.place === candidate.identity.place);
+      const pool = samePlace.length > 0 ? samePlace : this.active;
+      const silent = pool.filter((peer) => peer.reachability.getState() === 'unreachable');
+      const settled = pool.filter((peer) => !peer.reachability.isAwaited());
+      const evicted = random.pickItem([silent, settled].find((group) => group.length > 0) ?? []);
+      if (evicted === undefined) return;
+      this.active = this.active.filter((peer) => peer !== evicted);
+    }
+    this.active.push(candidate);
+  }
+
+  /**
+   * Samples peers that were heard recently.
+   * @param count - Largest number of peers.
+   * @param nowMs - Present time in milliseconds.
+   */
+  sampleHeard(count: number, nowMs: number): vmIdentity.VmIdentity[] {
+    const heard = this.active.filter((peer) => nowMs - peer.lastHeardMs < ABSENT_KEEP_MS / 2 && peer.reported !== 'leaving');
+    return this.options.random.shuffleItems(heard).slice(0, count).map((peer) => peer.identity);
+  }
+
+  private fillActive(): void {
+    const shuffled = this.options.random.shuffleItems(this.listPeers());
+    this.active = places.PlaceSpread.takeEvenly(shuffled, (peer) => peer.identity.place, ACTIVE_LIMIT);
+  }
+}
--- /dev/null
+++ b/packages/core/src/vms/Peer.ts
@@ -0,0 +1,104 @@
+import type * as links from '../links/index.js';
+import type * as incarnationRule from './IncarnationRule.js';
+import type * as peerRules from './PeerRules.js';
+import type * as peerTaskMessage from './PeerTaskMessage.js';
+import type * as vmIdentity from './VmIdentity.js';
+
+// The list lags, so what a peer said itself goes before the list for this time.
+const HEARD_BEFORE_LIST_MS = 15_000;
+
+// A VM usually starts within seconds, and the news that it serves may get lost on its way to a peer that is not active.
+const STARTING_KEEP_MS = 15_000;
+
+/** What this VM knows about one other VM. */
+export class Peer {
+  /** State in the platform's list, or how else the peer became known. */
+  listing: 'live' | 'leaving' | 'absent' = 'absent';
+
+  /** State that the peer named last. */
+  reported: 'starting' | 'serving' | 'leaving' | undefined;
+
+  lastHeardMs = -Infinity;
+
+  lastAskedMs = -Infinity;
+
+  /** View that was published last. */
+  published: peerTaskMessage.PeerView | undefined;
+
+  /** Whether the last exchange of the peer named ejections. */
+  ejections: 'some' | 'none' = 'none';
+
+  readonly reachability: links.ReachabilityCheck;
+
+  readonly incarnations: incarnationRule.IncarnationRule;
+
+  // Created with the first message, so that peers that are only listed cost little memory.
+  private window: links.SequenceWindow | undefined;
+
+  /**
+   * @param identity - Address of the peer; the incarnation is empty until the peer is heard.
+   * @param addedMs - Time at which the peer became known, in milliseconds.
+   * @param rules - Creates the rules for the peer.
+   */
+  constructor(public identity: vmIdentity.VmIdentity, readonly addedMs: number, private readonly rules: peerRules.PeerRules) {
+    this.reachability = rules.createReachabilityCheck();
+    this.incarnations = rules.createIncarnationRule();
+  }
+
+  /** Whether a message of the present incarnation has arrived. */
+  isHeard(): boolean {
+    return this.identity.incarnation !== '';
+  }
+
+  /** Gets the time at which the peer was last heard or asked, in milliseconds. */
+  getLastContactMs(): number {
+    return Math.max(this.lastHeardMs, this.lastAskedMs);
+  }
+
+  /**
+   * Records a message of the present incarnation.
+   * @param sequence - Sequence number of the message.
+   * @param kind - Whether the message is an exchange.
+   * @param nowMs - Present time in milliseconds.
+   */
+  recordHeard(sequence: number, kind: 'exchange' | 'other', nowMs: number): 'fresh' | 'duplicate' | 'overtaken' {
+    this.window ??= this.rules.createSequenceWindow();
+    const result = this.window.accept(sequence, kind);
+    if (result === 'duplicate') return result;
+    this.lastHeardMs = nowMs;
+    this.incarnations.recordPresent();
+    this.reachability.recordHeard();
+    return result;
+  }
+
+  /**
+   * Records that an exchange is sent to the peer.
+   * @param nowMs - Present time in milliseconds.
+   */
+  recordAsked(nowMs: number): void {
+    this.lastAskedMs = nowMs;
+    this.reachability.recordAsked(nowMs);
+  }
+
+  /**
+   * Makes another incarnation the present one.
+   * @param identity - Identity of the incarnation.
+   */
+  setIncarnation(identity: vmIdentity.VmIdentity): void {
+    this.identity = identity;
+    this.reported = undefined;
+    this.window = undefined;
+  }
+
+  /**
+   * Computes the state as other tasks see it.
+   * @param nowMs - Present time in milliseconds.
+   */
+  computeState(nowMs: number): peerTaskMessage.PeerView['state'] {
+    if (this.reported === 'leaving') return 'leaving';
+    if (this.listing === 'leaving' && nowMs - this.lastHeardMs > HEARD_BEFORE_LIST_MS) return 'leaving';
+    const reachable = this.reachability.getState();
+    if (reachable !== 'reachable') return reachable;
+    return this.reported === 'starting' && nowMs - this.lastHeardMs < STARTING_KEEP_MS ? 'starting' : 'reachable';
+  }
+}
--- /dev/null
+++ b/packages/core/src/vms/PeerInbox.ts
@@ -0,0 +1,201 @@
+import type * as upstreams from '../upstreams/index.js';
+import type * as dropLog from './DropLog.js';
+import * as envelopeCheck from './EnvelopeCheck.js';
+import type * as partialView from './PartialView.js';
+import type * as peerModule from './Peer.js';
+import type * as peerMessage from './PeerMessage.js';
+import type * as reachRelay from './ReachRelay.js';
+import type * as vmContext from './VmContext.js';
+import type * as vmIdentity from './VmIdentity.js';
+
+const SAMPLE_LIMIT = 8;
+
+/** What the inbox asks of the `PeerTask` that owns it. */
+export interface PeerInboxOwner {
+  sendExchange(to: vmIdentity.VmIdentity, direction: 'request' | 'reply'): void;
+  sendMessage(to: vmIdentity.VmIdentity, message: peerMessage.PeerMessage): void;
+  recordDrains(notices: readonly upstreams.DrainNotice[], source: 'own' | 'peer'): void;
+  publishView(): void;
+}
+
+/** Options of a `PeerInbox`. */
+export interface PeerInboxOptions {
+  readonly context: vmContext.VmContext;
+  readonly view: partialView.PartialView;
+  readonly drops: dropLog.DropLog;
+  readonly reach: reachRelay.ReachRelay;
+  readonly owner: PeerInboxOwner;
+}
+
+/** Receives the messages of peers for the `PeerTask`: checks them, updates the view and passes them on. */
+export class PeerInbox {
+  private readonly check = new envelopeCheck.EnvelopeCheck();
+
+  /** @param options - Parts of the `PeerTask`. */
+  constructor(private readonly options: PeerInboxOptions) {}
+
+  /**
+   * Handles one envelope.
+   * @param envelope - Envelope as the transport delivered it.
+   */
+  receive(envelope: peerMessage.PeerEnvelope): void {
+    const { context, view, drops } = this.options;
+    const fault = this.check.findFault(envelope);
+    if (fault !== undefined) {
+      drops.recordDrop(fault);
+      return;
+    }
+    const { from, message } = envelope;
+    const nowMs = context.timers.getNowMs();
+    const peer = view.addPeer(from, nowMs);
+    if (peer === undefined) {
+      drops.recordDrop(from.name === context.identity.name ? 'the sender has the name of this VM' : 'the directory is full');
+      return;
+    }
+    if (this.resolveSender(peer, from, nowMs) === 'challenger') {
+      this.handleContent(from, message);
+      return;
+    }
+    const kind = message.type === 'exchange' ? 'exchange' : 'other';
+    if (peer.recordHeard(envelope.sequence, kind, nowMs) !== 'fresh') return;
+    this.options.reach.takeReached(from).forEach((report) => this.reportReach(report));
+    this.updatePeer(peer, message);
+    this.handleContent(from, message);
+    this.options.owner.publishView();
+  }
+
+  /**
+   * Reports the result of a check to the peer that asked for it.
+   * @param report - Result of the check.
+   */
+  reportReach(report: reachRelay.ReachReport): void {
+    const asker = this.options.view.findPeer(report.asker);
+    if (asker === undefined) return;
+    const { name, incarnation } = report.target;
+    this.options.owner.sendMessage(asker.identity, {
+      type: 'reach-reported', target: name, incarnation, result: report.result,
+    });
+  }
+
+  private resolveSender(peer: peerModule.Peer, from: vmIdentity.VmIdentity, nowMs: number): 'present' | 'challenger' {
+    if (peer.identity.incarnation === from.incarnation) return 'present';
+    // A peer that was never heard, or that nobody reaches, has no incarnation that could contest the new one.
+    const contested = peer.isHeard() && peer.reachability.getState() !== 'unreachable';
+    const decision = contested ? peer.incarnations.decide(from, nowMs) : 'replace';
+    if (decision === 'replace') {
+      peer.setIncarnation(from);
+      return 'present';
+    }
+    if (decision === 'ask-both') [peer.identity, from].forEach((identity) => this.options.owner.sendExchange(identity, 'request'));
+    return 'challenger';
+  }
+
+  /* eslint-disable no-param-reassign -- the inbox updates the peers of the view that it was given */
+  private updatePeer(peer: peerModule.Peer, message: peerMessage.PeerMessage): void {
+    if (message.type === 'leaving') peer.reported = 'leaving';
+    if (message.type !== 'exchange') return;
+    // An exchange that was sent before the peer began to leave may arrive later; leaving is final for an incarnation.
+    if (peer.reported !== 'leaving') peer.reported = message.state;
+    if (message.ejections.length > 0 || peer.ejections === 'some') {
+      this.options.context.mailboxes.upstreams.post({ type: 'peer-ejections', from: peer.identity.name, notices: message.ejections });
+    }
+    peer.ejections = message.ejections.length > 0 ? 'some' : 'none';
+  }
+  /* eslint-enable no-param-reassign */
+
+  // Content stands for itself: documents are sealed, drain notices name incarnations, operations name their home.
+  private handleContent(from: vmIdentity.VmIdentity, message: peerMessage.PeerMessage): void {
+    const { mailboxes } = this.options.context;
+    switch (message.type) {
+      case 'exchange':
+        this.handleExchange(from, message);
+        break;
+      case 'drain':
+        this.options.owner.recordDrains(message.notices, 'peer');
+        break;
+      case 'document-announced':
+        mailboxes.configuration.post({
+          type: 'peer-document', from: from.name, place: from.place, document: message.document, way: 'news',
+        });
+        break;
+      case 'document-requested':
+        mailboxes.configuration.post({ type: 'peer-request', from: from.name });
+        break;
+      case 'document':
+        mailboxes.configuration.post({ type: 'peer-text', from: from.name, text: message.text });
+        break;
+      case 'evidence-requested':
+        mailboxes.upstreams.post({
+          type: 'to-service',
+          service: message.service,
+          message: { type: 'evidence-requested', from: from.name, instances: message.instances },
+        });
+        break;
+      case 'evidence':
+        mailboxes.upstreams.post({
+          type: 'to-service',
+          service: message.service,
+          message: {
+            type: 'evidence-reported', from: from.name, place: from.place, rows: message.rows,
+          },
+        });
+        break;
+      case 'reach-requested':
+        this.beginCheck(from, message.target);
+        break;
+      case 'reach-reported':
+        this.applyReport(message);
+        break;
+      case 'operation-forwarded':
+        mailboxes.requests.post({
+          type: 'forwarded', from: from.name, forwardId: message.forwardId, request: message.request,
+        });
+        break;
+      case 'operation-cancelled':
+        mailboxes.requests.post({ type: 'forward-cancelled', from: from.name, forwardId: message.forwardId });
+        break;
+      case 'operation-ended':
+        mailboxes.requests.post({
+          type: 'forward-ended', from: from.name, forwardId: message.forwardId, outcome: message.outcome,
+        });
+        break;
+      default:
+        break;
+    }
+  }
+
+  private handleExchange(from: vmIdentity.VmIdentity, message: peerMessage.PeerExchange): void {
+    const { context, view, owner } = this.options;
+    if (message.drains.length > 0) owner.recordDrains(message.drains, 'peer');
+    const nowMs = context.timers.getNowMs();
+    message.peers.slice(0, SAMPLE_LIMIT).forEach((identity) => view.addPeer({ ...identity, incarnation: '' }, nowMs));
+    context.mailboxes.configuration.post({
+      type: 'peer-document',
+      from: from.name,
+      place: from.place,
+      document: message.document,
+      way: message.direction === 'reply' ? 'answer' : 'news',
+    });
+    if (message.direction === 'request') owner.sendExchange(from, 'reply');
+  }
+
+  private beginCheck(from: vmIdentity.VmIdentity, target: vmIdentity.VmIdentity): void {
+    const { context, view, owner } = this.options;
+    if (target.name === context.identity.name) {
+      this.reportReach({ asker: from.name, target: context.identity, result: 'reached' });
+      return;
+    }
+    const nowMs = context.timers.getNowMs();
+    this.options.reach.addCheck(from.name, target, nowMs);
+    const known = view.findPeer(target.name);
+    known?.recordAsked(nowMs);
+    owner.sendExchange(known?.identity ?? target, 'request');
+  }
+
+  private applyReport(report: Extract<peerMessage.PeerMessage, { type: 'reach-reported' }>): void {
+    const peer = this.options.view.findPeer(report.target);
+    if (peer === undefined || (peer.isHeard() && peer.identity.incarnation !== report.incarnation)) return;
+    peer.reachability.recordReport(report.result, this.options.context.timers.getNowMs());
+    this.options.owner.publishView();
+  }
+}
--- a/packages/core/src/vms/PeerMessage.ts
+++ b/packages/core/src/vms/PeerMessage.ts
@@ -8,7 +8,7 @@
   readonly type: 'exchange';
   /** `request` asks for an exchange in return. */
   readonly direction: 'request' | 'reply';
-  /** Accepted document of the sender, if it has one. */
+  /** Newest document that the sender holds, if any; a sender that starts may hold it before it is in force there. */
   readonly document: contracts.DocumentReference | undefined;
   readonly state: 'starting' | 'serving' | 'leaving';
   readonly drains: readonly upstreams.DrainNotice[];
--- /dev/null
+++ b/packages/core/src/vms/PeerRules.ts
@@ -0,0 +1,26 @@
+import * as links from '../links/index.js';
+import * as drainBoard from './DrainBoard.js';
+import * as incarnationRule from './IncarnationRule.js';
+
+/** Creates the rules that the `PeerTask` decides by. A subclass replaces single rules. */
+export class PeerRules {
+  /** Creates the rule for the reachability of one peer. */
+  createReachabilityCheck(): links.ReachabilityCheck {
+    return new links.ReachabilityCheck();
+  }
+
+  /** Creates the rule that orders the messages of one incarnation of a peer. */
+  createSequenceWindow(): links.SequenceWindow {
+    return new links.SequenceWindow();
+  }
+
+  /** Creates the rule for the incarnations of one peer. */
+  createIncarnationRule(): incarnationRule.IncarnationRule {
+    return new incarnationRule.IncarnationRule();
+  }
+
+  /** Creates the record of the instances that leave. */
+  createDrainBoard(): drainBoard.DrainBoard {
+    return new drainBoard.DrainBoard();
+  }
+}
--- a/packages/core/src/vms/PeerTask.ts
+++ b/packages/core/src/vms/PeerTask.ts
@@ -1,16 +1,250 @@
 import * as tasks from '../tasks/index.js';
+import type * as upstreams from '../upstreams/index.js';
+import type * as drainBoard from './DrainBoard.js';
+import * as dropLog from './DropLog.js';
+import * as exchangeSchedule from './ExchangeSchedule.js';
+import * as leavingAnnouncer from './LeavingAnnouncer.js';
+import * as partialView from './PartialView.js';
+import type * as peerModule from './Peer.js';
+import * as peerInbox from './PeerInbox.js';
+import type * as peerMessage from './PeerMessage.js';
+import * as peerSender from './PeerSender.js';
 import type * as peerTaskMessage from './PeerTaskMessage.js';
+import * as platformRole from './PlatformRole.js';
+import * as reachRelay from './ReachRelay.js';
+import * as viewPublisher from './ViewPublisher.js';
 import type * as vmContext from './VmContext.js';
+import type * as vmIdentity from './VmIdentity.js';
+
+const TICK_PERIOD_MS = 1_000;
+
+// A tick that comes later than this shows a pause, in which answers of peers may have been lost.
+const PAUSE_MS = 3_000;
+
+const ROTATION_TICKS = 2;
+
+// The list usually arrives within milliseconds; after this time the peers of the settings take its place.
+const SEED_TICKS = 3;
+
+const SAMPLE_SIZE = 2;
+const RELAY_FANOUT = 8;
+const THIRD_PEERS = 2;
+const EJECTION_LIMIT = 16;
 
 /** Owns the view of the other VMs and the exchange with them. */
-export class PeerTask extends tasks.Task<peerTaskMessage.PeerTaskMessage> {
+export class PeerTask extends tasks.Task<peerTaskMessage.PeerTaskMessage> implements peerInbox.PeerInboxOwner {
+  private readonly view: partialView.PartialView;
+
+  private readonly sender: peerSender.PeerSender;
+
+  private readonly inbox: peerInbox.PeerInbox;
+
+  private readonly drops: dropLog.DropLog;
+
+  private readonly drains: drainBoard.DrainBoard;
+
+  private readonly reach = new reachRelay.ReachRelay();
+
+  private readonly schedule: exchangeSchedule.ExchangeSchedule;
+
+  private readonly publisher: viewPublisher.ViewPublisher;
+
+  private readonly role: platformRole.PlatformRole;
+
+  private readonly announcer = new leavingAnnouncer.LeavingAnnouncer();
+
+  private readonly ejections = new Map<string, upstreams.EjectionNotice>();
+
+  private state: 'starting' | 'serving' | 'leaving' = 'starting';
+
+  private document: Extract<peerTaskMessage.PeerTaskMessage, { type: 'document-standing' }> = {
+    type: 'document-standing', held: undefined, standing: 'current',
+  };
+
+  private mode: 'watch' | 'poll' | undefined;
+
+  private listRead: 'read' | 'unread' = 'unread';
+
+  private ticks = 0;
+
+  private lastTickMs: number;
+
   /** @param context - Surroundings of the tasks of the VM. */
   constructor(private readonly context: vmContext.VmContext) {
     super(context.scheduler);
+    const { identity, random, timers } = context;
+    const rules = context.rules.peers;
+    this.view = new partialView.PartialView({ identity, random, rules });
+    this.sender = new peerSender.PeerSender(context);
+    this.drops = new dropLog.DropLog(context);
+    this.drains = rules.createDrainBoard();
+    this.schedule = new exchangeSchedule.ExchangeSchedule(random);
+    this.publisher = new viewPublisher.ViewPublisher(context);
+    this.role = new platformRole.PlatformRole(identity);
+    this.inbox = new peerInbox.PeerInbox({
+      context, view: this.view, drops: this.drops, reach: this.reach, owner: this,
+    });
+    this.lastTickMs = timers.getNowMs();
+    this.view.applyList(context.seedPeers, this.lastTickMs);
+    // The random phase keeps the ticks of VMs that were started together apart.
+    timers.subscribe({
+      mailbox: this, message: { type: 'tick' }, delayMs: random.drawInteger(TICK_PERIOD_MS), periodMs: TICK_PERIOD_MS,
+    });
   }
 
   /** @internal */
   override handle(message: peerTaskMessage.PeerTaskMessage): void {
-    if (message.type === 'status-requested') message.replyTo.post({ type: 'peer-status', peers: [], droppedMessages: 0 });
+    switch (message.type) {
+      case 'envelope':
+        this.inbox.receive(message.envelope);
+        break;
+      case 'list':
+        this.applyList(message);
+        break;
+      case 'send':
+        this.sendByName(message.to, message.message);
+        break;
+      case 'send-to-fronting':
+        this.publisher.listFronting(message.service)
+          .filter((name) => name !== this.context.identity.name)
+          .forEach((name) => this.sendByName(name, message.message));
+        break;
+      case 'push':
+        if (message.message.type === 'drain') this.recordDrains(message.message.notices, 'own');
+        else this.sender.sendToAll(this.view.listActive(), message.message);
+        break;
+      case 'invalid':
+        this.drops.recordDrop(message.detail);
+        break;
+      case 'delivery-failed':
+        this.view.findPeer(message.to)?.recordAsked(this.context.timers.getNowMs());
+        break;
+      case 'document-standing':
+        this.document = message;
+        this.updateMode();
+        break;
+      case 'ejections-changed':
+        if (message.notice.instances.length === 0) this.ejections.delete(message.notice.service);
+        else this.ejections.set(message.notice.service, message.notice);
+        break;
+      case 'state-changed':
+        this.applyState(message.state);
+        break;
+      case 'status-requested':
+        message.replyTo.post({ type: 'peer-status', peers: this.publisher.getPublished(), droppedMessages: this.drops.getCount() });
+        break;
+      case 'tick':
+        this.runTick();
+        break;
+      default:
+        break;
+    }
+  }
+
+  /** @internal */
+  recordDrains(notices: readonly upstreams.DrainNotice[], source: 'own' | 'peer'): void {
+    const fresh = this.drains.addNotices(notices, this.context.timers.getNowMs());
+    if (fresh.length === 0) return;
+    if (source === 'peer') this.context.mailboxes.upstreams.post({ type: 'drain', notices: fresh });
+    const active = this.view.listActive();
+    const receivers = source === 'own' ? active : this.context.random.shuffleItems(active).slice(0, RELAY_FANOUT);
+    this.sender.sendToAll(receivers, { type: 'drain', notices: fresh });
+  }
+
+  /** @internal */
+  sendExchange(to: vmIdentity.VmIdentity, direction: 'request' | 'reply'): void {
+    const nowMs = this.context.timers.getNowMs();
+    const receiver = this.view.findPeer(to.name)?.reported === 'starting' ? 'starting' : 'other';
+    this.sender.send(to, {
+      type: 'exchange',
+      direction,
+      document: this.document.held,
+      state: this.state,
+      drains: this.drains.selectNotices(nowMs, receiver),
+      ejections: [...this.ejections.values()].slice(0, EJECTION_LIMIT),
+      peers: this.view.sampleHeard(SAMPLE_SIZE, nowMs).filter((identity) => identity.name !== to.name),
+    });
+  }
+
+  /** @internal */
+  sendMessage(to: vmIdentity.VmIdentity, message: peerMessage.PeerMessage): void {
+    this.sender.send(to, message);
+  }
+
+  /** @internal */
+  publishView(): void {
+    if (this.publisher.publishChanges(this.view, this.context.timers.getNowMs()) === 'changed') this.updateMode();
+  }
+
+  private sendByName(name: string, message: peerMessage.PeerMessage): void {
+    const peer = this.view.findPeer(name);
+    if (peer !== undefined) this.sender.send(peer.identity, message);
+    else if (message.type === 'operation-forwarded') this.context.mailboxes.requests.post({ type: 'peer-unreached', to: name });
+  }
+
+  private applyState(state: 'serving' | 'leaving'): void {
+    this.state = state;
+    const active = this.view.listActive();
+    if (state === 'leaving') this.sender.sendToAll(active, { type: 'leaving' });
+    // Peers that heard this VM while it started do not name it to callers until they hear that it serves.
+    else active.forEach((peer) => this.sendExchange(peer.identity, 'reply'));
+    this.updateMode();
+  }
+
+  private applyList(list: Extract<peerTaskMessage.PeerTaskMessage, { type: 'list' }>): void {
+    const nowMs = this.context.timers.getNowMs();
+    const count = this.view.applyList(list.entries, nowMs);
+    this.context.mailboxes.configuration.post({ type: 'listed-peers', count });
+    // A VM that starts asks at once; the list may come long before its first tick.
+    if (this.listRead === 'unread' && this.state === 'starting') this.requestExchanges(nowMs);
+    this.listRead = 'read';
+    this.publishView();
+  }
+
+  private runTick(): void {
+    const nowMs = this.context.timers.getNowMs();
+    if (nowMs - this.lastTickMs > PAUSE_MS) this.view.listPeers().forEach((peer) => peer.reachability.resetCounts());
+    this.lastTickMs = nowMs;
+    this.ticks += 1;
+    const seeds = this.context.seedPeers.filter((seed) => seed.name !== this.context.identity.name);
+    if (this.listRead === 'unread' && this.ticks === SEED_TICKS && seeds.length > 0) {
+      this.context.mailboxes.configuration.post({ type: 'listed-peers', count: seeds.length });
+    }
+    this.view.pruneAbsent(nowMs);
+    if (this.ticks % ROTATION_TICKS === 0) this.view.rotateActive();
+    this.view.listActive().forEach((peer) => {
+      if (peer.reachability.evaluate(nowMs) === 'ask-others') this.requestChecks(peer);
+    });
+    this.view.listPeers().forEach((peer) => this.probeChallenger(peer, nowMs));
+    this.requestExchanges(nowMs);
+    this.reach.takeSilent(nowMs).forEach((report) => this.inbox.reportReach(report));
+    if (this.state === 'leaving') this.sender.sendToAll(this.announcer.takeNext(this.view.listPeers()), { type: 'leaving' });
+    this.publishView();
+    this.updateMode();
+  }
+
+  private requestExchanges(nowMs: number): void {
+    this.schedule.choosePeers(this.view.listActive(), this.state, nowMs).forEach((peer) => {
+      peer.recordAsked(nowMs);
+      this.sendExchange(peer.identity, 'request');
+    });
+  }
+
+  private probeChallenger(peer: peerModule.Peer, nowMs: number): void {
+    const challenger = peer.incarnations.getChallenger(nowMs);
+    if (challenger !== undefined) [peer.identity, challenger].forEach((identity) => this.sendExchange(identity, 'request'));
+  }
+
+  private requestChecks(target: peerModule.Peer): void {
+    const others = this.view.listActive().filter((peer) => peer !== target && peer.reachability.getState() === 'reachable' && peer.isHeard());
+    this.context.random.shuffleItems(others).slice(0, THIRD_PEERS)
+      .forEach((peer) => this.sender.send(peer.identity, { type: 'reach-requested', target: target.identity }));
+  }
+
+  private updateMode(): void {
+    const mode = this.role.chooseMode(this.publisher.getPublished(), this.state, this.document.standing);
+    if (mode === this.mode) return;
+    this.mode = mode;
+    this.context.outbox.post({ type: 'platform-mode', mode });
   }
 }
--- a/packages/core/src/vms/PeerTaskMessage.ts
+++ b/packages/core/src/vms/PeerTaskMessage.ts
@@ -8,7 +8,8 @@
 /** Peer as other tasks see it. */
 export interface PeerView {
   readonly identity: vmIdentity.VmIdentity;
-  readonly state: 'reachable' | 'suspected' | 'unreachable' | 'leaving';
+  /** `starting`: reachable, but it does not serve yet. */
+  readonly state: 'reachable' | 'starting' | 'suspected' | 'unreachable' | 'leaving';
 }
 
 /** Published to the tasks that choose VMs, whenever the view changes. */
@@ -31,7 +32,9 @@
   | { readonly type: 'invalid'; readonly detail: string }
   /** The transport could not deliver to a peer. */
   | { readonly type: 'delivery-failed'; readonly to: string }
-  | { readonly type: 'document-accepted'; readonly document: contracts.DeploymentDocument }
+  | contracts.DocumentAccepted
+  /** Newest document that this VM holds, in force or not, and whether it lacks a newer one that a peer named for a while. */
+  | { readonly type: 'document-standing'; readonly held: contracts.DocumentReference | undefined; readonly standing: 'current' | 'behind' }
   | { readonly type: 'ejections-changed'; readonly notice: upstreams.EjectionNotice }
   | { readonly type: 'state-changed'; readonly state: 'serving' | 'leaving' }
   | { readonly type: 'status-requested'; readonly replyTo: tasks.Mailbox<PeerStatus> }
--- /dev/null
+++ b/packages/core/src/vms/PlatformRole.ts
@@ -0,0 +1,33 @@
+import * as places from '../places/index.js';
+import type * as peerTaskMessage from './PeerTaskMessage.js';
+import type * as vmIdentity from './VmIdentity.js';
+
+const WATCHERS_PER_PLACE = 3;
+
+const ROLE_KEY = 'platform-watch';
+
+/** Decides whether this VM holds a watch on the platform or polls it. */
+export class PlatformRole {
+  /** @param identity - Identity of this VM. */
+  constructor(private readonly identity: vmIdentity.VmIdentity) {}
+
+  /**
+   * Chooses the mode by rendezvous hashing over the live VMs of the own place.
+   * @param peers - Known peers.
+   * @param state - State of this VM.
+   * @param standing - `behind` if a newer document is known and no peer hands it over; the VM then watches as well.
+   */
+  chooseMode(
+    peers: readonly peerTaskMessage.PeerView[],
+    state: 'starting' | 'serving' | 'leaving',
+    standing: 'current' | 'behind',
+  ): 'watch' | 'poll' {
+    if (standing === 'behind') return 'watch';
+    if (state === 'leaving') return 'poll';
+    const { name, place } = this.identity;
+    const live = peers.filter((peer) => peer.identity.place === place && (peer.state === 'reachable' || peer.state === 'starting'));
+    const names = [name, ...live.map((peer) => peer.identity.name)];
+    const watchers = places.RendezvousHash.rankItems(ROLE_KEY, names, (item) => item).slice(0, WATCHERS_PER_PLACE);
+    return watchers.includes(name) ? 'watch' : 'poll';
+  }
+}
--- /dev/null
+++ b/packages/core/src/vms/ViewPublisher.ts
@@ -0,0 +1,60 @@
+import * as places from '../places/index.js';
+import type * as partialView from './PartialView.js';
+import type * as peerModule from './Peer.js';
+import type * as peerTaskMessage from './PeerTaskMessage.js';
+import type * as vmContext from './VmContext.js';
+
+/** Publishes the view to the tasks that choose VMs, only when it has changed. */
+export class ViewPublisher {
+  private published: readonly peerTaskMessage.PeerView[] = [];
+
+  private readonly fronting = new Map<string, readonly string[]>();
+
+  private readonly frontingSet: places.FrontingSet;
+
+  /** @param context - Surroundings of the tasks of the VM. */
+  constructor(private readonly context: vmContext.VmContext) {
+    this.frontingSet = context.rules.callers.createFrontingSet();
+  }
+
+  /** Gets the view that was published last. */
+  getPublished(): readonly peerTaskMessage.PeerView[] {
+    return this.published;
+  }
+
+  /**
+   * Publishes the view if a peer came, went or changed.
+   * @param view - Known peers.
+   * @param nowMs - Present time in milliseconds.
+   */
+  publishChanges(view: partialView.PartialView, nowMs: number): 'changed' | 'unchanged' {
+    const peers = view.listPeers();
+    const changed = peers.filter((peer) => ViewPublisher.updatePublished(peer, nowMs) === 'changed');
+    if (changed.length === 0 && peers.length === this.published.length) return 'unchanged';
+    this.published = peers.flatMap((peer) => peer.published ?? []);
+    this.fronting.clear();
+    this.context.mailboxes.addresses.post({ type: 'view-changed', peers: this.published });
+    return 'changed';
+  }
+
+  /**
+   * Lists the names of the fronting set of a service, with this VM if it belongs to it.
+   * @param service - Name of the service.
+   */
+  listFronting(service: string): readonly string[] {
+    const known = this.fronting.get(service);
+    if (known !== undefined) return known;
+    const usable = this.published.filter((peer) => peer.state === 'reachable').map((peer) => peer.identity);
+    const names = this.frontingSet.chooseMembers(service, [this.context.identity, ...usable]).map((member) => member.name);
+    this.fronting.set(service, names);
+    return names;
+  }
+
+  private static updatePublished(peer: peerModule.Peer, nowMs: number): 'changed' | 'unchanged' {
+    const state = peer.computeState(nowMs);
+    if (peer.published?.state === state && peer.published.identity === peer.identity) return 'unchanged';
+    // eslint-disable-next-line no-param-reassign -- the peer keeps its published view, so that a change is found without a second map
+    peer.published = { identity: peer.identity, state };
+    return 'changed';
+  }
+}
--- a/packages/core/src/vms/Vm.ts
+++ b/packages/core/src/vms/Vm.ts
@@ -7,6 +7,7 @@
 import * as upstreams from '../upstreams/index.js';
 import * as lifecycleTask from './LifecycleTask.js';
 import type * as listEntry from './ListEntry.js';
+import * as peerRules from './PeerRules.js';
 import * as peerTask from './PeerTask.js';
 import * as statusTask from './StatusTask.js';
 import type * as vmContext from './VmContext.js';
@@ -62,6 +63,7 @@
         callers: new callers.CallerRules(),
         contracts: new contracts.ContractRules(),
         upstreams: new upstreams.UpstreamRules(),
+        peers: new peerRules.PeerRules(),
         ...options.rules,
       },
       seedPeers: options.seedPeers ?? [],
--- /dev/null
+++ b/packages/core/test/callers/AddressTask.test.ts
@@ -0,0 +1,75 @@
+import type * as core from '@tamarackferry/core';
+import * as vitest from 'vitest';
+
+import * as testFleet from '../vms/TestFleet.js';
+import * as plantedCallerRules from './PlantedCallerRules.js';
+
+const { TestFleet } = testFleet;
+const { expect } = vitest;
+
+function listNamed(fleet: testFleet.TestFleet, node: testFleet.FleetNode, service = 'orders'): string[] {
+  const answer = fleet.getAddresses(node, service);
+  return answer.type === 'addresses' ? answer.addresses.map((address) => address.vm) : [answer.type];
+}
+
+function listAllNamed(fleet: testFleet.TestFleet): Set<string> {
+  return new Set(fleet.nodes.flatMap((node) => Array.from({ length: 8 }, () => ['orders', 'desk'].flatMap((service) => listNamed(fleet, node, service))).flat()));
+}
+
+function measureLeaving(rules: Partial<core.vms.VmRules>): { named: number; stoppedMs: number; ownAnswer: string[] } {
+  const fleet = TestFleet.start(48, 67, rules);
+  const leaving = fleet.nodes.find((node) => listAllNamed(fleet).has(node.identity.name))!;
+  const { name } = leaving.identity;
+  fleet.faults.loss = 0.2;
+  leaving.vm.post({ type: 'stop' });
+  const ownAnswer = listNamed(fleet, leaving);
+  const beganMs = fleet.timers.getNowMs();
+  fleet.advanceBy(5_000);
+  const named = listAllNamed(fleet).has(name) ? 1 : 0;
+  const isStopped = () => leaving.outputs.some((output) => output.type === 'stopped');
+  // Stops looking after 30 s.
+  while (!isStopped() && fleet.timers.getNowMs() < beganMs + 30_000) fleet.advanceBy(100);
+  return { named, stoppedMs: fleet.timers.getNowMs() - beganMs, ownAnswer: ownAnswer.filter((vm) => vm === name) };
+}
+
+vitest.describe('AddressTask', () => {
+  vitest.it('names 6 of the same 12 VMs over all places in changing order (guards against uneven load and thin evidence)', () => {
+    const fleet = TestFleet.start(48, 71);
+    fleet.advanceBy(15_000);
+    const answers = fleet.nodes.map((node) => listNamed(fleet, node));
+    answers.forEach((names) => {
+      expect(new Set(names).size).toBe(6);
+      expect(new Set(names.map((name) => Number(name.slice(3)) % 3)).size).toBe(3);
+    });
+    expect(new Set(answers.flat()).size).toBe(12);
+    expect(new Set(answers.map((names) => names[0])).size).toBeGreaterThan(8);
+    expect(fleet.getAddresses(fleet.nodes[0]!, 'other').type).toBe('unknown-service');
+  });
+
+  vitest.it('names no leaving VM within 5 s, and the VM stops after the validity (guards against refused callers)', () => {
+    const result = measureLeaving({});
+    expect(result).toMatchObject({ named: 0, ownAnswer: [] });
+    expect(result.stoppedMs).toBeGreaterThanOrEqual(10_000);
+    expect(result.stoppedMs).toBeLessThan(20_000);
+    expect(measureLeaving({ callers: new plantedCallerRules.PlantedCallerRules() }).named).toBe(1);
+  });
+
+  vitest.it('names itself when it knows nobody else, unless it leaves (guards against an empty answer of a healthy VM)', () => {
+    const fleet = new TestFleet(73);
+    const node = fleet.addNode('vm-0');
+    expect(listNamed(fleet, node)).toEqual(['not-ready']);
+    fleet.publishList();
+    fleet.publish(1);
+    expect(listNamed(fleet, node)).toEqual(['vm-0']);
+    node.vm.post({ type: 'stop' });
+    expect(listNamed(fleet, node)).toEqual(['not-ready']);
+  });
+
+  vitest.it('lets a starting VM name others (guards against callers that wait for a VM that starts)', () => {
+    const fleet = TestFleet.start(6, 79);
+    const fresh = fleet.addNode('vm-30');
+    fleet.publishList([fresh]);
+    expect(listNamed(fleet, fresh)).toHaveLength(6);
+    expect(listNamed(fleet, fresh)).not.toContain('vm-30');
+  });
+});
--- /dev/null
+++ b/packages/core/test/vms/CountingDrainBoard.ts
@@ -0,0 +1,13 @@
+import * as core from '@tamarackferry/core';
+
+/** Drain board that records which boards have learned a notice. */
+export class CountingDrainBoard extends core.vms.DrainBoard {
+  constructor(protected readonly learned: Set<core.vms.DrainBoard>) {
+    super();
+  }
+
+  override addNotices(notices: readonly core.upstreams.DrainNotice[], nowMs: number): core.upstreams.DrainNotice[] {
+    if (notices.length > 0) this.learned.add(this);
+    return super.addNotices(notices, nowMs);
+  }
+}
--- /dev/null
+++ b/packages/core/test/vms/PeerTask.test.ts
@@ -0,0 +1,148 @@
+import * as core from '@tamarackferry/core';
+import * as vitest from 'vitest';
+
+import * as lonelyReachabilityCheck from '../links/LonelyReachabilityCheck.js';
+import * as countingDrainBoard from './CountingDrainBoard.js';
+import * as hastyIncarnationRule from './HastyIncarnationRule.js';
+import * as silentDrainBoard from './SilentDrainBoard.js';
+import * as testFleet from './TestFleet.js';
+
+const { TestFleet } = testFleet;
+const { expect } = vitest;
+
+function buildRules(replaced: Partial<core.vms.PeerRules>): Partial<core.vms.VmRules> {
+  return { peers: Object.assign(new core.vms.PeerRules(), replaced) };
+}
+
+const NOTICE = { service: 'orders', instance: 'orders-1', incarnation: 'i1' };
+
+function countDrainNews(faulty: 'faulty' | 'correct', seed: number): number {
+  const learned = new Set<core.vms.DrainBoard>();
+  const Board = faulty === 'faulty' ? silentDrainBoard.SilentDrainBoard : countingDrainBoard.CountingDrainBoard;
+  const fleet = TestFleet.start(48, seed, buildRules({ createDrainBoard: () => new Board(learned) }));
+  fleet.faults.loss = 0.3;
+  fleet.faults.duplication = 0.2;
+  fleet.send(fleet.nodes[0]!.identity, {
+    format: 1, from: fleet.nodes[1]!.identity, sequence: 1_000_000, message: { type: 'drain', notices: [NOTICE] },
+  });
+  fleet.advanceBy(5_000);
+  return learned.size;
+}
+
+function measureStaleIncarnation(rules: Partial<core.vms.VmRules>): { present: number; stale: number } {
+  const fleet = TestFleet.start(12, 7, rules);
+  const old = fleet.nodes[3]!;
+  fleet.kill(old);
+  const replacement = fleet.addNode('vm-3');
+  fleet.publishList([replacement]);
+  fleet.publish(1, [replacement]);
+  fleet.advanceBy(8_000);
+  const countIncarnation = (incarnation: string) => fleet.nodes.filter((node) => fleet.getStatus(node)
+    .peers.peers.some((peer) => peer.identity.incarnation === incarnation)).length;
+  const present = countIncarnation(replacement.identity.incarnation);
+  // Messages of the old incarnation that were under way for long.
+  fleet.nodes.filter((node) => node !== replacement).forEach((node) => [1, 2, 3].forEach((copy) => fleet.send(node.identity, {
+    format: 1, from: old.identity, sequence: 2_000_000 + copy, message: { type: 'leaving' },
+  }, copy * 50)));
+  fleet.advanceBy(400);
+  return { present, stale: countIncarnation(old.identity.incarnation) };
+}
+
+function measureOneWayCut(rules: Partial<core.vms.VmRules>): string[] {
+  const fleet = TestFleet.start(12, 11, rules);
+  fleet.cuts.add('vm-5>vm-0');
+  const seen = new Set<string>();
+  Array.from({ length: 90 }).forEach(() => {
+    fleet.advanceBy(1_000);
+    seen.add(fleet.getStatus(fleet.nodes[0]!).peers.peers.find((peer) => peer.identity.name === 'vm-5')!.state);
+  });
+  return [...seen].sort();
+}
+
+vitest.describe('PeerTask', () => {
+  vitest.it('brings a drain notice to 48 VMs within 5 s at 30% loss (guards against work for a leaving instance)', () => {
+    expect([1, 2, 3].map((seed) => countDrainNews('correct', seed))).toEqual([48, 48, 48]);
+    expect(countDrainNews('faulty', 1)).toBeLessThan(48);
+  });
+
+  vitest.it('prefers the incarnation that was heard last (guards against a replaced process that comes back from the network)', () => {
+    expect(measureStaleIncarnation({})).toEqual({ present: 11, stale: 0 });
+    const hasty = buildRules({ createIncarnationRule: () => new hastyIncarnationRule.HastyIncarnationRule() });
+    expect(measureStaleIncarnation(hasty).stale).toBeGreaterThan(0);
+  });
+
+  vitest.it('asks third peers before it gives up a silent one (guards against losing healthy peers to a one-way cut)', () => {
+    expect(measureOneWayCut({})).not.toContain('unreachable');
+    const lonely = buildRules({ createReachabilityCheck: () => new lonelyReachabilityCheck.LonelyReachabilityCheck() });
+    expect(measureOneWayCut(lonely)).toContain('unreachable');
+  });
+
+  vitest.it('finds a dead VM and takes back a paused one (guards against addresses of dead VMs and against lasting removal)', () => {
+    const fleet = TestFleet.start(48, 13);
+    fleet.kill(fleet.nodes[7]!);
+    fleet.advanceBy(120_000);
+    expect(new Set(fleet.listStates('vm-7'))).toEqual(new Set(['unreachable']));
+    fleet.nodes[7]!.state = 'running';
+    fleet.nodes[7]!.timers.resume();
+    fleet.advanceBy(30_000);
+    expect(new Set(fleet.listStates('vm-7'))).toEqual(new Set(['reachable']));
+    expect(new Set(fleet.nodes.flatMap((node) => fleet.getStatus(node).peers.peers.map((peer) => peer.state)))).toEqual(new Set(['reachable']));
+  });
+
+  vitest.it('keeps a VM that the list lost and forgets one that is silent, too (guards against a list that lags)', () => {
+    const fleet = TestFleet.start(6, 17);
+    const entries = fleet.listEntries().filter((entry) => entry.name !== 'vm-2' && entry.name !== 'vm-4');
+    fleet.kill(fleet.nodes[4]!);
+    fleet.nodes.forEach((node) => node.vm.post({ type: 'list-read', entries }));
+    fleet.advanceBy(150_000);
+    expect(new Set(fleet.listStates('vm-2'))).toEqual(new Set(['reachable']));
+    expect(new Set(fleet.listStates('vm-4'))).toEqual(new Set([undefined]));
+  });
+
+  vitest.it('stays within 3 KB a second for each VM (guards against control traffic that grows with the fleet)', async ({ annotate }) => {
+    const fleet = TestFleet.start(48, 19);
+    fleet.advanceBy(10_000);
+    const before = fleet.nodes.map((node) => node.sentBytes);
+    fleet.advanceBy(60_000);
+    const rates = fleet.nodes.map((node, index) => (node.sentBytes - before[index]!) / 60);
+    const mean = rates.reduce((sum, rate) => sum + rate, 0) / rates.length;
+    await annotate(`control bytes a second sent per VM: mean ${mean.toFixed(0)}, max ${Math.max(...rates).toFixed(0)}`);
+    expect(Math.max(...rates)).toBeLessThan(3_000);
+  });
+
+  vitest.it('drops garbage, counts it and logs it once per period (guards against a crash by a peer message)', () => {
+    const fleet = TestFleet.start(5, 23);
+    const [node] = fleet.nodes;
+    const { identity } = fleet.nodes[1]!;
+    const base = {
+      format: 1, from: identity, sequence: 900_000, message: { type: 'leaving' },
+    };
+    const garbage: unknown[] = [
+      undefined, null, 7, 'x', [], {}, { ...base, format: 3 }, { ...base, format: 'a' }, { ...base, from: {} }, { ...base, sequence: -1 },
+      { ...base, message: { type: 'unknown' } }, { ...base, message: { type: 'drain', notices: 'all' } },
+      { ...base, message: { type: 'exchange', direction: 'request' } }, { ...base, from: node!.identity },
+    ];
+    garbage.forEach((envelope) => node!.vm.post({ type: 'peer-envelope', envelope: envelope as core.vms.PeerEnvelope }));
+    node!.vm.post({ type: 'peer-invalid', detail: 'not JSON' });
+    expect(fleet.getStatus(node!).peers.droppedMessages).toBe(garbage.length + 1);
+    expect(node!.outputs.filter((output) => output.type === 'log' && output.prefix === 'peers')).toHaveLength(1);
+    node!.vm.post({ type: 'peer-envelope', envelope: { ...base, format: 2 } as core.vms.PeerEnvelope });
+    expect(fleet.listStates('vm-1')[0]).toBe('leaving');
+  });
+
+  vitest.it('lets 3 VMs of each place watch the platform (guards against a load that grows with the fleet)', () => {
+    const fleet = TestFleet.start(48, 29);
+    const modes = fleet.nodes.map((node) => ({
+      place: node.identity.place, mode: node.outputs.flatMap((output) => (output.type === 'platform-mode' ? [output.mode] : [])).at(-1),
+    }));
+    expect(['a', 'b', 'c'].map((place) => modes.filter((entry) => entry.place === place && entry.mode === 'watch').length)).toEqual([3, 3, 3]);
+    fleet.nodes[0]!.vm.post({
+      type: 'peer-envelope',
+      envelope: {
+        format: 1, from: fleet.nodes[1]!.identity, sequence: 900_000, message: { type: 'document-announced', document: { version: 9, digest: 'f' } },
+      },
+    });
+    fleet.advanceBy(5_000);
+    expect(fleet.nodes[0]!.outputs.findLast((output) => output.type === 'platform-mode')).toEqual({ type: 'platform-mode', mode: 'watch' });
+  });
+});
