--- a/packages/core/src/callers/CallerRules.ts
+++ b/packages/core/src/callers/CallerRules.ts
@@ -1,4 +1,7 @@
 import type * as contracts from '../contracts/index.js';
+import * as places from '../places/index.js';
+import type * as randomness from '../randomness/index.js';
+import * as addressChoice from './AddressChoice.js';
 import type * as admissionPolicy from './AdmissionPolicy.js';
 import * as attemptInterpreter from './AttemptInterpreter.js';
 import * as deadlinePolicy from './DeadlinePolicy.js';
@@ -6,10 +9,13 @@
 import type * as hedgePolicy from './HedgePolicy.js';
 import * as idempotentRetryPolicy from './IdempotentRetryPolicy.js';
 import * as kindMatcher from './KindMatcher.js';
+import * as lookupsOnTimeCount from './LookupsOnTimeCount.js';
+import type * as memberCount from './MemberCount.js';
 import * as nonIdempotentRetryPolicy from './NonIdempotentRetryPolicy.js';
 import * as retryBudget from './RetryBudget.js';
 import type * as retryPolicy from './RetryPolicy.js';
 import * as tailHedgePolicy from './TailHedgePolicy.js';
+import * as weightedOnTimeCount from './WeightedOnTimeCount.js';
 
 const MAX_WAITING_PER_SERVICE = 500;
 
@@ -57,4 +63,25 @@
   createKindMatcher(kinds: readonly contracts.RequestKind[]): kindMatcher.KindMatcher {
     return new kindMatcher.KindMatcher(kinds);
   }
+
+  /** Creates the rule that chooses the VMs that callers of a service are sent to. */
+  createFrontingSet(): places.FrontingSet {
+    return new places.FrontingSet();
+  }
+
+  /**
+   * Creates the rule that chooses the addresses of one answer.
+   * @param random - Source of randomness.
+   */
+  createAddressChoice(random: randomness.RandomSource): addressChoice.AddressChoice {
+    return new addressChoice.AddressChoice(random);
+  }
+
+  /**
+   * Creates the count of a member.
+   * @param counting - How the member counts the service that it received.
+   */
+  createMemberCount(counting: contracts.MemberContract['counting']): memberCount.MemberCount {
+    return counting === 'weighted-on-time' ? new weightedOnTimeCount.WeightedOnTimeCount() : new lookupsOnTimeCount.LookupsOnTimeCount();
+  }
 }
--- a/packages/core/src/contracts/ContractRules.ts
+++ b/packages/core/src/contracts/ContractRules.ts
@@ -1,9 +1,11 @@
 import * as answerRetention from './AnswerRetention.js';
+import * as documentOrder from './DocumentOrder.js';
 import * as operationEpochs from './OperationEpochs.js';
 import * as operationLedger from './OperationLedger.js';
 import type * as operationPolicy from './OperationPolicy.js';
 import * as prefixedOperationPolicy from './PrefixedOperationPolicy.js';
 import type * as requestKind from './RequestKind.js';
+import * as startupCheck from './StartupCheck.js';
 import * as unprefixedOperationPolicy from './UnprefixedOperationPolicy.js';
 
 const MAX_LEDGER_ENTRIES = 200_000;
@@ -40,4 +42,14 @@
       ? new unprefixedOperationPolicy.UnprefixedOperationPolicy()
       : new prefixedOperationPolicy.PrefixedOperationPolicy();
   }
+
+  /** Creates the order of documents. */
+  createDocumentOrder(): documentOrder.DocumentOrder {
+    return new documentOrder.DocumentOrder();
+  }
+
+  /** Creates the rule by which a VM that starts begins to serve. */
+  createStartupCheck(): startupCheck.StartupCheck {
+    return new startupCheck.StartupCheck(this.createDocumentOrder());
+  }
 }
--- a/packages/core/test/TestVm.ts
+++ b/packages/core/test/TestVm.ts
@@ -89,6 +89,7 @@
         callers: new core.callers.CallerRules(),
         contracts: new core.contracts.ContractRules(),
         upstreams: new core.upstreams.UpstreamRules(),
+        peers: new core.vms.PeerRules(),
         ...options.rules,
       },
       seedPeers: [],
