Add the stand-ins and the caller library

Change: stand-ins with modes, as classes and as processes; a caller library with failover, deadlines, cancellation and operation ids.

--- /dev/null
+++ b/packages/caller/src/callers/CallerClient.ts
@@ -0,0 +1,73 @@
+import * as crypto from 'node:crypto';
+import type * as core from '@tamarackferry/core';
+
+import * as links from '../links/index.js';
+import * as vms from '../vms/index.js';
+import type * as callerRequest from './CallerRequest.js';
+import * as idempotentFlow from './IdempotentFlow.js';
+import * as operationFlow from './OperationFlow.js';
+import type * as requestFlow from './RequestFlow.js';
+
+// Operations of different callers share a prefix, so the nonce must not depend on a seed.
+const CLIENT_TOKEN_BYTES = 12;
+
+/** Options of a `CallerClient`. */
+export interface CallerClientOptions {
+  /** Addresses of some entry VMs, to ask for the VMs of a service. */
+  readonly seeds: readonly { readonly host: string; readonly port: number }[];
+  /** Member that the caller belongs to. */
+  readonly member: string;
+  /** Key of the member; empty if the document declares none. */
+  readonly memberKey?: string;
+  readonly timers: core.time.TimerService;
+  readonly random: core.randomness.RandomSource;
+}
+
+/** Client of the fleet for applications. */
+export class CallerClient {
+  private readonly link: links.VmLink;
+
+  private readonly reader: vms.AddressReader;
+
+  private readonly book: vms.AddressBook;
+
+  private readonly token = crypto.randomBytes(CLIENT_TOKEN_BYTES).toString('base64url');
+
+  private nextOperation = 0;
+
+  /** @param options - Seeds and member. */
+  constructor(private readonly options: CallerClientOptions) {
+    const { timers, random } = options;
+    this.link = new links.VmLink(timers);
+    this.reader = new vms.AddressReader(this.link);
+    this.book = new vms.AddressBook({
+      seeds: options.seeds.map(({ host, port }) => ({ vm: '', host, port })), reader: this.reader, timers, random,
+    });
+  }
+
+  /**
+   * Sends a request and resolves to its answer or to what is known about it.
+   * @param request - Request to send.
+   */
+  send(request: callerRequest.CallerRequest): Promise<requestFlow.FlowResult> {
+    const { timers, member, memberKey = '' } = this.options;
+    const options = {
+      request, member, memberKey, book: this.book, link: this.link, timers,
+    };
+    const flow: requestFlow.RequestFlow = request.repeatability === 'idempotent'
+      ? new idempotentFlow.IdempotentFlow(options)
+      : new operationFlow.OperationFlow({ ...options, reader: this.reader, buildNonce: () => this.buildNonce() });
+    return flow.run();
+  }
+
+  /** Closes all connections and ends refreshes. */
+  async close(): Promise<void> {
+    this.book.close();
+    await this.link.close();
+  }
+
+  private buildNonce(): string {
+    this.nextOperation += 1;
+    return `${this.token}-${this.nextOperation}`;
+  }
+}
--- /dev/null
+++ b/packages/caller/src/links/VmExchange.ts
@@ -0,0 +1,111 @@
+import type * as core from '@tamarackferry/core';
+import * as undici from 'undici';
+
+import type * as vms from '../vms/index.js';
+
+/** Why a request to a VM has no answer. */
+export type VmFailureCause = 'unreachable' | 'overdue' | 'cancelled';
+
+/** Request to one VM. */
+export interface VmRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: readonly (readonly [string, string])[];
+  readonly body: Uint8Array | undefined;
+  readonly timeoutMs: number;
+  readonly signal: AbortSignal | undefined;
+}
+
+/** How a request to one VM ended. */
+export type VmReply = | { readonly type: 'replied'; readonly status: number; readonly headers: ReadonlyMap<string, string>; readonly body: Buffer }
+  /** No byte of the request was written. */
+  | { readonly type: 'refused'; readonly cause: VmFailureCause }
+  /** Bytes were written, and no whole answer came. */
+  | { readonly type: 'broken'; readonly cause: VmFailureCause };
+
+/** Options of a `VmExchange`. */
+export interface VmExchangeOptions {
+  readonly to: vms.VmAddress;
+  readonly request: VmRequest;
+  readonly timers: core.time.TimerService;
+  /** Called once, when the exchange ends. */
+  readonly onEnd: (reply: VmReply) => void;
+}
+
+/** One request to a VM and its answer. */
+export class VmExchange {
+  private controller: undici.Dispatcher.DispatchController | undefined;
+
+  private state: 'open' | 'ended' = 'open';
+
+  private status = 0;
+
+  private readonly headers = new Map<string, string>();
+
+  private readonly chunks: Buffer[] = [];
+
+  private overdue: core.time.TimerSubscription | undefined;
+
+  private readonly handleAbort = (): void => this.cancel('cancelled');
+
+  /** @param options - Request and receiver of the reply. */
+  constructor(private readonly options: VmExchangeOptions) {}
+
+  /**
+   * Sends the request.
+   * @param agent - Connections to VMs.
+   */
+  send(agent: undici.Agent): void {
+    const { to, request, timers } = this.options;
+    if (request.signal?.aborted === true) {
+      this.cancel('cancelled');
+      return;
+    }
+    request.signal?.addEventListener('abort', this.handleAbort);
+    this.overdue = timers.subscribe({ mailbox: { post: () => this.cancel('overdue') }, message: undefined, delayMs: request.timeoutMs });
+    agent.dispatch({
+      origin: `http://${to.host.includes(':') ? `[${to.host}]` : to.host}:${to.port}`,
+      method: request.method as undici.Dispatcher.HttpMethod,
+      path: request.path,
+      headers: request.headers.flatMap(([name, value]) => [name, value]),
+      body: request.body === undefined ? null : Buffer.from(request.body),
+    }, {
+      onRequestStart: (controller) => this.handleStart(controller),
+      onResponseStart: (_, status, fields) => {
+        this.status = status;
+        Object.entries(fields).forEach(([name, value]) => this.headers.set(name, Array.isArray(value) ? value.join(', ') : value ?? ''));
+      },
+      onResponseData: (_, chunk) => {
+        this.chunks.push(chunk);
+      },
+      onResponseEnd: () => this.end({
+        type: 'replied', status: this.status, headers: this.headers, body: Buffer.concat(this.chunks),
+      }),
+      onResponseError: () => this.end({ type: this.controller === undefined ? 'refused' : 'broken', cause: 'unreachable' }),
+    });
+  }
+
+  private handleStart(controller: undici.Dispatcher.DispatchController): void {
+    if (this.state === 'open' && this.controller === undefined) {
+      this.controller = controller;
+      return;
+    }
+    // The request was withdrawn while it waited for a connection, or the library repeats it.
+    controller.abort(new undici.errors.RequestAbortedError());
+    this.end({ type: 'broken', cause: 'unreachable' });
+  }
+
+  private cancel(cause: VmFailureCause): void {
+    const { controller } = this;
+    this.end({ type: controller === undefined ? 'refused' : 'broken', cause });
+    controller?.abort(new undici.errors.RequestAbortedError());
+  }
+
+  private end(reply: VmReply): void {
+    if (this.state === 'ended') return;
+    this.state = 'ended';
+    this.overdue?.cancel();
+    this.options.request.signal?.removeEventListener('abort', this.handleAbort);
+    this.options.onEnd(reply);
+  }
+}
--- /dev/null
+++ b/packages/caller/src/links/index.ts
@@ -0,0 +1,2 @@
+export * from './VmExchange.js';
+export * from './VmLink.js';
--- /dev/null
+++ b/packages/caller/src/vms/index.ts
@@ -0,0 +1,3 @@
+export * from './AddressBook.js';
+export * from './AddressReader.js';
+export type * from './VmAddress.js';
--- a/packages/entry/src/vms/EntryProcess.ts
+++ b/packages/entry/src/vms/EntryProcess.ts
@@ -11,7 +11,8 @@
 import * as entrySettings from './EntrySettings.js';
 import * as processLog from './ProcessLog.js';
 
-const INCARNATION_LENGTH = 12;
+// Two runs of a VM must never share an incarnation, so it does not come from the seeded source.
+const INCARNATION_BYTES = 8;
 
 /** Reason why a process does not start. */
 export interface StartFailure {
@@ -139,7 +140,7 @@
     this.vm = new core.vms.Vm({
       identity: {
         name: settings.name,
-        incarnation: random.drawToken(INCARNATION_LENGTH),
+        incarnation: crypto.randomBytes(INCARNATION_BYTES).toString('hex'),
         host: settings.advertisedHost ?? settings.host,
         port: settings.advertisedPort ?? this.port,
         peerPort: settings.advertisedPeerPort ?? this.peerPort,
--- a/packages/standins/src/platform/index.ts
+++ b/packages/standins/src/platform/index.ts
@@ -1,1 +1,4 @@
+export * from './CallMeter.js';
+export * from './PlatformMode.js';
 export * from './PlatformStandin.js';
+export * from './PublishedValue.js';
