Test the entry process over real sockets

Cause: the faults that the listener, the connections and the peers guard against were not exercised.

Change: tests with stand-ins and raw sockets. An empty answer that the contract declares as not run needs no digest.

Conclusion: a crossed answer is recognised by the connections; the decision about it is the core's and is not tested here.

--- a/packages/entry/src/upstreams/AnswerReader.ts
+++ b/packages/entry/src/upstreams/AnswerReader.ts
@@ -124,6 +124,8 @@
 
   private isDigestMatched(): boolean {
     if (this.hash === undefined || this.options.method === 'HEAD' || this.status === 204 || this.status === 304) return true;
+    // A declared refusal carries no content; instances that refuse may not reach the code that computes digests.
+    if (this.receivedBytes === 0 && this.getDeclarations().notRun !== undefined) return true;
     const declared = DIGEST_PATTERN.exec(this.getField('content-digest') ?? '')?.[1];
     return declared !== undefined && declared === this.hash.digest('base64');
   }
--- /dev/null
+++ b/packages/entry/test/upstreams/UpstreamConnections.test.ts
@@ -0,0 +1,220 @@
+import * as net from 'node:net';
+import * as core from '@tamarackferry/core';
+import * as entry from '@tamarackferry/entry';
+import * as standins from '@tamarackferry/standins';
+import * as vitest from 'vitest';
+
+import * as recordingMailbox from '../vms/RecordingMailbox.js';
+
+const CONTRACT: core.contracts.ServiceContract = {
+  name: 'orders',
+  floorInstances: 1,
+  slotsPerInstance: 4,
+  connectionsPerInstance: 10,
+  detection: 'cautious',
+  requestIdEcho: 'echoed',
+  notRunAnswers: 'declared',
+  answerDigest: 'sent',
+  kinds: [],
+};
+
+interface AttemptOptions {
+  readonly path?: string;
+  readonly timeoutMs?: number;
+  readonly instancePort?: number;
+  readonly operationId?: string;
+  readonly contract?: Partial<core.contracts.ServiceContract>;
+}
+
+vitest.describe('UpstreamConnections', () => {
+  const vm = new recordingMailbox.RecordingMailbox<core.vms.VmInput>();
+  const listener = new recordingMailbox.RecordingMailbox<entry.callers.ListenerMessage>();
+  let connections: entry.upstreams.UpstreamConnections;
+  let standin: standins.upstreams.UpstreamStandin;
+  let port = 0;
+  let attempts = 0;
+
+  async function startStandin(options: standins.upstreams.UpstreamStandinOptions): Promise<void> {
+    standin = new standins.upstreams.UpstreamStandin('orders-1', options);
+    port = await standin.listen();
+  }
+
+  function buildInstance(instancePort = port): core.upstreams.InstanceAddress {
+    return {
+      service: 'orders', name: 'orders-1', incarnation: 'i1', host: '127.0.0.1', port: instancePort, place: 'a',
+    };
+  }
+
+  function sendAttempt(options: AttemptOptions = {}): string {
+    attempts += 1;
+    const attemptId = `attempt-${attempts}`;
+    connections.post({
+      type: 'send-attempt',
+      attemptId,
+      requestId: `request-${attempts}`,
+      instance: buildInstance(options.instancePort),
+      contract: { ...CONTRACT, ...options.contract },
+      request: {
+        service: 'orders', method: 'GET', path: options.path ?? '/status', headers: [], body: Buffer.alloc(0), digest: '', member: 'museum', deadlineMs: undefined, operationId: options.operationId,
+      },
+      timeoutMs: options.timeoutMs ?? 20_000,
+    });
+    return attemptId;
+  }
+
+  async function waitForResult(attemptId: string): Promise<core.upstreams.AttemptResult> {
+    const find = (): core.upstreams.AttemptResult[] => vm.list('attempt-ended').filter((ended) => ended.attemptId === attemptId).map((ended) => ended.result);
+    await vitest.vi.waitFor(() => vitest.expect(find().length).toBeGreaterThan(0), { timeout: 20_000 });
+    return find()[0]!;
+  }
+
+  /** Answers each connection with fixed bytes and counts connections. */
+  async function startRawUpstream(answer: string, ending: 'keep' | 'close'): Promise<{ port: number; count: () => number; close: () => void }> {
+    const sockets: net.Socket[] = [];
+    const server = net.createServer((socket) => {
+      sockets.push(socket);
+      socket.on('error', () => undefined);
+      socket.on('data', () => (ending === 'close' ? socket.end(answer) : socket.write(answer)));
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    return {
+      port: (server.address() as net.AddressInfo).port,
+      count: () => sockets.length,
+      close: () => {
+        server.close();
+        sockets.forEach((socket) => socket.destroy());
+      },
+    };
+  }
+
+  vitest.beforeEach(() => {
+    vm.messages.length = 0;
+    listener.messages.length = 0;
+    connections = new entry.upstreams.UpstreamConnections({
+      scheduler: new core.tasks.TaskScheduler(), timers: new entry.time.SystemTimerService(), vm, listener,
+    });
+  });
+
+  vitest.afterEach(async () => {
+    const ended = vm.list('attempt-ended').map((message) => message.attemptId);
+    vitest.expect(new Set(ended).size).toBe(ended.length);
+    await connections.close();
+    await standin?.close();
+  });
+
+  vitest.it('reads a whole answer with what it declares (guards against lost load and drain signals)', async () => {
+    await startStandin({});
+    standin.setDrain('announcing');
+    vitest.expect(await waitForResult(sendAttempt())).toMatchObject({
+      type: 'answered', echo: 'matched', notRun: undefined, drain: 'leaving', load: 0, answer: { status: 200, body: Buffer.from('{"instance":"orders-1","path":"/status"}') },
+    });
+    standin.setDrain('refusing');
+    vitest.expect(await waitForResult(sendAttempt())).toMatchObject({ type: 'answered', notRun: 'draining' });
+    vitest.expect(await waitForResult(sendAttempt({ contract: { notRunAnswers: 'absent' } }))).toEqual({ type: 'truncated' });
+  });
+
+  vitest.it.each([
+    ['truncated', { type: 'truncated' }],
+    ['resetting', { type: 'reset' }],
+    ['failing', { type: 'answered', echo: 'matched', answer: { status: 500 } }],
+    ['crossed', { type: 'answered', echo: 'mismatched' }],
+  ] as const)('recognises a %s answer (guards against wrong answers that reach a caller)', async (mode, expected) => {
+    await startStandin({ mode });
+    vitest.expect(await waitForResult(sendAttempt())).toMatchObject(expected);
+  });
+
+  vitest.it.each([
+    ['a missing digest', 'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok', 'keep', 'sent', 'truncated'],
+    ['a wrong digest', 'HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-digest: sha-256=:AAAA:\r\n\r\nok', 'keep', 'sent', 'truncated'],
+    ['no framing', 'HTTP/1.1 200 OK\r\n\r\nok', 'close', 'absent', 'truncated'],
+    ['a missing last chunk', 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n', 'close', 'absent', 'truncated'],
+    ['no HTTP', 'hello\r\n\r\n', 'keep', 'absent', 'reset'],
+  ] as const)('does not take an answer with %s (guards against parts of answers)', async (_, answer, ending, answerDigest, type) => {
+    const raw = await startRawUpstream(answer, ending);
+    vitest.expect(await waitForResult(sendAttempt({ instancePort: raw.port, contract: { answerDigest } }))).toEqual({ type });
+    raw.close();
+  });
+
+  vitest.it('reuses connections with whole answers only (guards against a late answer that meets the next request)', async () => {
+    const whole = await startRawUpstream('HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok', 'keep');
+    const contract = { answerDigest: 'absent', requestIdEcho: 'absent' } as const;
+    await waitForResult(sendAttempt({ instancePort: whole.port, contract }));
+    await waitForResult(sendAttempt({ instancePort: whole.port, contract }));
+    vitest.expect(whole.count()).toBe(1);
+    // This answer lacks the echo that the contract declares.
+    await waitForResult(sendAttempt({ instancePort: whole.port, contract: { answerDigest: 'absent' } }));
+    await waitForResult(sendAttempt({ instancePort: whole.port, contract }));
+    vitest.expect(whole.count()).toBe(2);
+    whole.close();
+  });
+
+  vitest.it('tells a refused connection from a silent instance (guards against "not run" for a request that was sent)', async () => {
+    await startStandin({ mode: 'silent' });
+    vitest.expect(await waitForResult(sendAttempt({ timeoutMs: 200 }))).toEqual({ type: 'timed-out' });
+    await standin.close();
+    vitest.expect(await waitForResult(sendAttempt())).toEqual({ type: 'refused' });
+    vitest.expect(await waitForResult(sendAttempt({ contract: { connectionsPerInstance: 0 } }))).toEqual({ type: 'refused' });
+  });
+
+  vitest.it('confirms a cancellation only if the instance did (guards against "not run" for an operation that ran)', async () => {
+    await startStandin({ serviceTimeMs: 300 });
+    const early = sendAttempt({ operationId: 'early' });
+    await vitest.vi.waitFor(async () => {
+      const load = await (await fetch(`http://127.0.0.1:${port}/load`)).json() as { used: number };
+      vitest.expect(load.used).toBe(1);
+    }, { timeout: 20_000 });
+    connections.post({ type: 'cancel-attempt', attemptId: early });
+    vitest.expect(await waitForResult(early)).toEqual({ type: 'cancelled', confirmation: 'confirmed-not-run' });
+    standin.setMode('silent');
+    const late = sendAttempt({ operationId: 'late' });
+    await vitest.vi.waitFor(() => vitest.expect(standin.register.countRuns().get('late')).toBe(1), { timeout: 20_000 });
+    connections.post({ type: 'cancel-attempt', attemptId: late });
+    vitest.expect(await waitForResult(late)).toEqual({ type: 'cancelled', confirmation: 'silent' });
+    vitest.expect(standin.register.countRuns().get('early')).toBeUndefined();
+  });
+
+  vitest.it('streams an answer above the buffer limit in its order (guards against unbounded buffers)', async () => {
+    await startStandin({});
+    const bytes = 3 * 1024 * 1024;
+    const attemptId = sendAttempt({ path: `/status?bytes=${bytes}` });
+    vitest.expect(await vm.waitFor('attempt-overflowed')).toEqual({ type: 'attempt-overflowed', attemptId, echo: 'matched' });
+    connections.post({ type: 'stream-attempt', attemptId });
+    let taken = 0;
+    await vitest.vi.waitFor(() => {
+      const parts = listener.list('stream-data');
+      if (parts.length > taken) connections.post({ type: 'stream-ready', attemptId });
+      taken = parts.length;
+      vitest.expect(listener.list('stream-ended').length).toBe(1);
+    }, { timeout: 20_000, interval: 1 });
+    vitest.expect(listener.list('stream-started')[0]).toMatchObject({ status: 200, attemptId });
+    vitest.expect(listener.list('stream-data').reduce((sum, part) => sum + part.data.length, 0)).toBe(bytes);
+    vitest.expect(await waitForResult(attemptId)).toEqual({ type: 'streamed' });
+  });
+
+  vitest.it('reports a streamed answer that breaks off (guards against a streamed part that looks whole)', async () => {
+    await startStandin({ mode: 'truncated' });
+    const attemptId = sendAttempt({ path: `/status?bytes=${4 * 1024 * 1024}` });
+    await vm.waitFor('attempt-overflowed');
+    connections.post({ type: 'stream-attempt', attemptId });
+    await vitest.vi.waitFor(() => {
+      connections.post({ type: 'stream-ready', attemptId });
+      vitest.expect(listener.list('stream-aborted').length).toBe(1);
+    }, { timeout: 20_000, interval: 1 });
+    vitest.expect(await waitForResult(attemptId)).toEqual({ type: 'stream-broken' });
+  });
+
+  vitest.it('maps probes to results (guards against a leaving instance that looks healthy)', async () => {
+    await startStandin({});
+    const probe = async (count: number): Promise<string> => {
+      connections.post({ type: 'send-probe', instance: buildInstance(), timeoutMs: 20_000 });
+      return (await vm.waitFor('probe-ended', count)).result.type;
+    };
+    vitest.expect(await probe(1)).toBe('healthy');
+    standin.setDrain('refusing');
+    vitest.expect(await probe(2)).toBe('draining');
+    await standin.close();
+    vitest.expect(await probe(3)).toBe('failed');
+  });
+});
--- /dev/null
+++ b/packages/entry/test/vms/RecordingMailbox.ts
@@ -0,0 +1,26 @@
+import type * as core from '@tamarackferry/core';
+import * as vitest from 'vitest';
+
+/** Mailbox that keeps what it was sent. */
+export class RecordingMailbox<Message extends { readonly type: string }> implements core.tasks.Mailbox<Message> {
+  readonly messages: Message[] = [];
+
+  /** @param onMessage - Called for each message. */
+  constructor(private readonly onMessage: (message: Message) => void = () => undefined) {}
+
+  post(message: Message): void {
+    this.messages.push(message);
+    this.onMessage(message);
+  }
+
+  /** Lists the messages of one type. */
+  list<Type extends Message['type']>(type: Type): Extract<Message, { type: Type }>[] {
+    return this.messages.filter((message): message is Extract<Message, { type: Type }> => message.type === type);
+  }
+
+  /** Waits until there are at least so many messages of a type and gets the last of them. */
+  async waitFor<Type extends Message['type']>(type: Type, count = 1): Promise<Extract<Message, { type: Type }>> {
+    await vitest.vi.waitFor(() => vitest.expect(this.list(type).length).toBeGreaterThanOrEqual(count), { timeout: 20_000 });
+    return this.list(type)[count - 1]!;
+  }
+}
