--- a/packages/standins/src/platform/PlatformStandin.ts
+++ b/packages/standins/src/platform/PlatformStandin.ts
@@ -85,7 +85,7 @@
   setMode(mode: platformMode.PlatformMode): void {
     this.mode = mode;
     this.frozenAtMs = mode === 'stale' ? this.timers.getNowMs() : undefined;
-    if (mode === 'down') this.server.closeAllConnections();
+    if (mode === 'down') this.waiters.forEach((waiter) => waiter.response.destroy());
     this.answerWaiters();
   }
 
