Close the listener although callers hold silent connections

Cause: a closed Node.js server no longer checks its time-outs, so a silent connection, or a caller that does not read, kept a stopping process open.

Change: connections on which no answer is due are closed after the header time-out, unfinished bodies after the idle time-out as well; an answer that the caller does not read is given up. The peer server is a task.

Conclusion: a graceful shutdown ends in bounded time.

--- a/packages/entry/src/callers/CallerExchange.ts
+++ b/packages/entry/src/callers/CallerExchange.ts
@@ -15,17 +15,27 @@
   'refused-by-upstream': 502,
 };
 
+/** Options of a `CallerExchange`. */
+export interface CallerExchangeOptions {
+  /** Request whose head was parsed. */
+  readonly request: http.IncomingMessage;
+  readonly response: http.ServerResponse;
+  /** Time after which a caller that does not read its answer is given up. */
+  readonly writeTimeoutMs: number;
+}
+
 /** One request of a caller and its answer. */
 export class CallerExchange {
   private state: 'receiving' | 'waiting' | 'streaming' | 'ended' = 'receiving';
 
   private attemptId: string | undefined;
 
-  /**
-   * @param request - Request whose head was parsed.
-   * @param response - Answer to it.
-   */
-  constructor(private readonly request: http.IncomingMessage, private readonly response: http.ServerResponse) {}
+  private readonly response: http.ServerResponse;
+
+  /** @param options - Request and its answer. */
+  constructor(private readonly options: CallerExchangeOptions) {
+    this.response = options.response;
+  }
 
   /** Whether the body of the request is still being received. */
   isReceiving(): boolean {
@@ -53,7 +63,7 @@
    */
   refuse(refusal: listenerRefusal.ListenerRefusal): void {
     this.sendProblem({
-      outcome: this.request.headers['tamarack-operation-id'] === undefined ? 'not-run' : 'unknown',
+      outcome: this.options.request.headers['tamarack-operation-id'] === undefined ? 'not-run' : 'unknown',
       reason: refusal.reason,
       status: listenerRefusal.REFUSAL_STATUS[refusal.reason],
       detail: refusal.detail,
@@ -92,6 +102,7 @@
   answerPage(status: number, page: object): void {
     if (this.state === 'ended') return;
     this.state = 'ended';
+    this.setWriteTimeout();
     this.response.statusCode = status;
     this.response.setHeader('content-type', 'application/json');
     this.response.end(JSON.stringify(page));
@@ -140,6 +151,7 @@
   private sendProblem(fields: problemDocument.ProblemFields): void {
     if (this.state === 'ended' || this.response.headersSent) return;
     this.state = 'ended';
+    this.setWriteTimeout();
     this.response.statusCode = fields.status;
     this.response.setHeader('tamarack-outcome', fields.outcome);
     this.response.setHeader('tamarack-reason', fields.reason);
@@ -147,7 +159,12 @@
     this.response.end(problemDocument.ProblemDocument.encode(fields));
   }
 
+  private setWriteTimeout(): void {
+    this.response.setTimeout(this.options.writeTimeoutMs, () => this.response.destroy());
+  }
+
   private writeHead(status: number, fields: readonly (readonly [string, string])[]): void {
+    this.setWriteTimeout();
     this.response.statusCode = status;
     fields.forEach(([name, value]) => this.response.appendHeader(name, value));
     this.response.setHeader('tamarack-outcome', 'answered');
--- a/packages/entry/src/callers/CallerListener.ts
+++ b/packages/entry/src/callers/CallerListener.ts
@@ -6,6 +6,7 @@
 
 import type * as upstreams from '../upstreams/index.js';
 import * as callerExchange from './CallerExchange.js';
+import * as callerSockets from './CallerSockets.js';
 import type * as listenerMessage from './ListenerMessage.js';
 import * as listenerRefusal from './ListenerRefusal.js';
 import * as memberKeys from './MemberKeys.js';
@@ -31,6 +32,7 @@
   readonly port: number;
   readonly limits: ListenerLimits;
   readonly scheduler: core.tasks.TaskScheduler;
+  readonly timers: core.time.TimerService;
   readonly random: core.randomness.RandomSource;
   readonly vm: core.tasks.Mailbox<core.vms.VmInput>;
   /** Sends the answers that are streamed. */
@@ -43,8 +45,7 @@
 
   private readonly exchanges = new Map<string, callerExchange.CallerExchange>();
 
-  // Exchanges of each connection; a parse error may be answered only if no other answer is due on it.
-  private readonly exchangesBySocket = new WeakMap<stream.Duplex, Set<callerExchange.CallerExchange>>();
+  private readonly sockets = new callerSockets.CallerSockets();
 
   private readonly keys = new memberKeys.MemberKeys();
 
@@ -62,6 +63,7 @@
       insecureHTTPParser: false,
       requireHostHeader: true,
     }, (request, response) => this.acceptRequest(request, response));
+    this.server.on('connection', (socket) => this.sockets.add(socket));
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => this.refuseConnection(error, socket));
   }
 
@@ -79,8 +81,18 @@
   close(): Promise<void> {
     this.state = 'stopping';
     this.exchanges.forEach((exchange) => exchange.setLast());
+    // A closed server no longer checks its time-outs, so a silent connection would keep it open.
+    const { timers, limits } = this.options;
+    const overdue = (['unused', 'receiving'] as const).map((extent) => timers.subscribe({
+      mailbox: this,
+      message: { type: 'close-overdue', extent },
+      delayMs: limits.headerTimeoutMs + (extent === 'receiving' ? limits.idleTimeoutMs : 0),
+    }));
     return new Promise((resolve) => {
-      this.server.close(() => resolve());
+      this.server.close(() => {
+        overdue.forEach((subscription) => subscription.cancel());
+        resolve();
+      });
       this.server.closeIdleConnections();
     });
   }
@@ -118,6 +130,9 @@
       case 'stop':
         this.state = 'stopping';
         break;
+      case 'close-overdue':
+        this.sockets.closeUnanswerable(message.extent);
+        break;
       // no default
     }
   }
@@ -138,14 +153,13 @@
 
   private acceptRequest(request: http.IncomingMessage, response: http.ServerResponse): void {
     const requestId = this.options.random.drawToken(REQUEST_ID_LENGTH);
-    const exchange = new callerExchange.CallerExchange(request, response);
+    const exchange = new callerExchange.CallerExchange({ request, response, writeTimeoutMs: this.options.limits.idleTimeoutMs });
     this.exchanges.set(requestId, exchange);
     const { socket } = request;
-    const siblings = this.exchangesBySocket.get(socket) ?? new Set();
-    this.exchangesBySocket.set(socket, siblings.add(exchange));
+    this.sockets.addExchange(socket, exchange);
     response.on('close', () => {
       this.exchanges.delete(requestId);
-      siblings.delete(exchange);
+      this.sockets.removeExchange(socket, exchange);
       this.handleClose(requestId, exchange, response);
     });
     requestHead.RequestHead.parse(request).match(
@@ -215,8 +229,9 @@
   }
 
   private refuseConnection(error: NodeJS.ErrnoException, socket: stream.Duplex): void {
-    const open = [...this.exchangesBySocket.get(socket) ?? []];
-    const refusal = CallerListener.buildRefusal(error.code ?? '');
+    // A parse error may be answered only if no other answer is due on the connection.
+    const open = this.sockets.listExchanges(socket);
+    const refusal = listenerRefusal.toRefusal(error.code ?? '');
     const [only] = open;
     if (open.length === 1 && only?.isReceiving() === true && socket.writable) {
       only.setLast();
@@ -234,12 +249,6 @@
     }, http.STATUS_CODES[status] ?? 'Error'), () => socket.destroy());
   }
 
-  private static buildRefusal(code: string): listenerRefusal.ListenerRefusal {
-    if (code === 'ERR_HTTP_REQUEST_TIMEOUT') return { reason: 'request-timeout', detail: 'the request did not arrive in time' };
-    if (code === 'HPE_HEADER_OVERFLOW') return { reason: 'header-too-large', detail: 'the head of the request is too large' };
-    return { reason: 'malformed-request', detail: 'the request is not valid HTTP/1.1' };
-  }
-
   private static computeAddressStatus(answer: core.vms.AddressAnswer): number {
     if (answer.type === 'addresses') return 200;
     return answer.type === 'unknown-service' ? 404 : 503;
--- a/packages/entry/src/callers/ListenerMessage.ts
+++ b/packages/entry/src/callers/ListenerMessage.ts
@@ -18,4 +18,6 @@
   | Extract<core.vms.VmOutput, { type: 'caller-answer' | 'address-answer' | 'status-answer' | 'evidence-answer' | 'document-accepted' }>
   | StreamMessage
   /** The process stops: answers ask callers to close their connections. */
-  | { readonly type: 'stop' };
+  | { readonly type: 'stop' }
+  /** Connections on which no answer is due have kept the closed listener open for too long. */
+  | { readonly type: 'close-overdue'; readonly extent: 'unused' | 'receiving' };
--- a/packages/entry/src/callers/ListenerRefusal.ts
+++ b/packages/entry/src/callers/ListenerRefusal.ts
@@ -30,3 +30,13 @@
   'method-not-allowed': 405,
   'no-configuration': 503,
 };
+
+/**
+ * Converts an error code of the HTTP parser of Node.js.
+ * @param code - Error code.
+ */
+export function toRefusal(code: string): ListenerRefusal {
+  if (code === 'ERR_HTTP_REQUEST_TIMEOUT') return { reason: 'request-timeout', detail: 'the request did not arrive in time' };
+  if (code === 'HPE_HEADER_OVERFLOW') return { reason: 'header-too-large', detail: 'the head of the request is too large' };
+  return { reason: 'malformed-request', detail: 'the request is not valid HTTP/1.1' };
+}
--- a/packages/entry/src/callers/index.ts
+++ b/packages/entry/src/callers/index.ts
@@ -1,5 +1,6 @@
 export * from './CallerExchange.js';
 export * from './CallerListener.js';
+export * from './CallerSockets.js';
 export type * from './ListenerMessage.js';
 export * from './ListenerRefusal.js';
 export * from './MemberKeys.js';
--- a/packages/entry/src/links/PeerServer.ts
+++ b/packages/entry/src/links/PeerServer.ts
@@ -1,6 +1,6 @@
 import * as http from 'node:http';
 import type * as net from 'node:net';
-import type * as core from '@tamarackferry/core';
+import * as core from '@tamarackferry/core';
 import * as standalone from '@trpc/server/adapters/standalone';
 import * as neverthrow from 'neverthrow';
 
@@ -14,29 +14,35 @@
 // Peers exchange about every second; a longer idle time saves them new connections.
 const IDLE_TIMEOUT_MS = 30_000;
 
+/** Message to the `PeerServer`. */
+export type PeerServerMessage = | { readonly type: 'delivered'; readonly values: readonly unknown[] }
+  | { readonly type: 'unreadable'; readonly detail: string };
+
 /** Options of a `PeerServer`. */
 export interface PeerServerOptions {
   readonly host: string;
   readonly port: number;
+  readonly scheduler: core.tasks.TaskScheduler;
   readonly vm: core.tasks.Mailbox<core.vms.VmInput>;
 }
 
 /** Owns the HTTP server that receives messages of other VMs. */
-export class PeerServer {
+export class PeerServer extends core.tasks.Task<PeerServerMessage> {
   private readonly server: http.Server;
 
   /** @param options - Address to listen on and the VM that gets the messages. */
   constructor(private readonly options: PeerServerOptions) {
+    super(options.scheduler);
     const handler = standalone.createHTTPHandler({
-      router: peerRouter.buildPeerRouter((values) => values.forEach((value) => this.receiveValue(value))),
+      router: peerRouter.buildPeerRouter((values) => this.post({ type: 'delivered', values })),
       maxBodySize: MAX_DELIVERY_BYTES,
-      onError: ({ error }) => this.reportInvalid(error.message),
+      onError: ({ error }) => this.post({ type: 'unreadable', detail: error.message }),
     });
     this.server = http.createServer({
       headersTimeout: HEADER_TIMEOUT_MS, requestTimeout: REQUEST_TIMEOUT_MS, keepAliveTimeout: IDLE_TIMEOUT_MS,
     }, handler);
     this.server.on('clientError', (error, socket) => {
-      this.reportInvalid(error.message);
+      this.post({ type: 'unreadable', detail: error.message });
       socket.destroy();
     });
   }
@@ -59,6 +65,12 @@
     });
   }
 
+  /** @internal */
+  override handle(message: PeerServerMessage): void {
+    if (message.type === 'delivered') message.values.forEach((value) => this.receiveValue(value));
+    else this.reportInvalid(message.detail);
+  }
+
   private receiveValue(value: unknown): void {
     peerCodec.PeerCodec.decode(value).match(
       (envelope) => this.options.vm.post({ type: 'peer-envelope', envelope }),
--- a/packages/entry/src/upstreams/Exchange.ts
+++ b/packages/entry/src/upstreams/Exchange.ts
@@ -115,11 +115,11 @@
   }
 
   private handleStart(controller: undici.Dispatcher.DispatchController): void {
-    if (this.controller === undefined) {
+    if (this.controller === undefined && this.state === 'open') {
       this.controller = controller;
       return;
     }
-    // undici sends a request again on some connection errors, which would run an operation twice.
+    // After a `refused` nothing may be written, and a repetition by undici after a connection error could run an operation twice.
     controller.abort(new undici.errors.RequestAbortedError());
     this.end('reset');
   }
--- a/packages/entry/src/vms/EntryProcess.ts
+++ b/packages/entry/src/vms/EntryProcess.ts
@@ -109,7 +109,7 @@
     const limits = settings.limits ?? entrySettings.DEFAULT_LIMITS;
     const vm: core.tasks.Mailbox<core.vms.VmInput> = { post: (input) => this.vm?.post(input) };
     const listener = new callers.CallerListener({
-      host, port, limits, scheduler, random, vm, connections: { post: (message) => this.parts.connections.post(message) },
+      host, port, limits, scheduler, timers, random, vm, connections: { post: (message) => this.parts.connections.post(message) },
     });
     return {
       listener,
@@ -124,7 +124,9 @@
         vm,
         onChange: (text) => log.write('warn', 'platform', text),
       }),
-      peerServer: new links.PeerServer({ host, port: peerPort, vm }),
+      peerServer: new links.PeerServer({
+        host, port: peerPort, scheduler, vm,
+      }),
       peerConnections: new links.PeerConnections({
         scheduler, timers, transport: new links.TrpcPeerTransport(), vm,
       }),
--- a/packages/entry/test/callers/CallerListener.test.ts
+++ b/packages/entry/test/callers/CallerListener.test.ts
@@ -9,12 +9,19 @@
 
 const LIMITS = { bodyBytes: 1_000, headerTimeoutMs: 300, idleTimeoutMs: 300 };
 
+const OPTIONS = {
+  host: '127.0.0.1',
+  port: 0,
+  limits: LIMITS,
+  scheduler: new core.tasks.TaskScheduler(),
+  timers: new entry.time.SystemTimerService(),
+  random: new core.randomness.SeededRandomSource(1),
+};
+
 vitest.describe('CallerListener', () => {
   const vm = new recordingMailbox.RecordingMailbox<core.vms.VmInput>();
   const connections = new recordingMailbox.RecordingMailbox<entry.upstreams.ConnectionMessage>();
-  const listener = new entry.callers.CallerListener({
-    host: '127.0.0.1', port: 0, limits: LIMITS, scheduler: new core.tasks.TaskScheduler(), random: new core.randomness.SeededRandomSource(1), vm, connections,
-  });
+  const listener = new entry.callers.CallerListener({ ...OPTIONS, vm, connections });
   let port = 0;
 
   vitest.beforeAll(async () => {
@@ -159,4 +166,16 @@
     else vitest.expect(cut).toBe('open');
     probe.destroy();
   });
+
+  vitest.it('closes although callers hold silent connections (guards against a shutdown that never ends)', async () => {
+    const other = new entry.callers.CallerListener({ ...OPTIONS, vm, connections });
+    const otherPort = (await other.listen())._unsafeUnwrap();
+    const texts = ['', 'GET /orders HTTP/1.1\r\nHo', 'POST /orders HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nab'];
+    const sockets = await Promise.all(texts.map((text) => new Promise<net.Socket>((resolve) => {
+      const socket = net.connect(otherPort, '127.0.0.1', () => socket.write(text, () => resolve(socket)));
+      socket.on('error', () => undefined);
+    })));
+    await other.close();
+    sockets.forEach((socket) => socket.destroy());
+  });
 });
--- a/packages/entry/test/links/PeerConnections.test.ts
+++ b/packages/entry/test/links/PeerConnections.test.ts
@@ -34,7 +34,9 @@
 vitest.describe('PeerConnections and PeerServer', () => {
   const received = new recordingMailbox.RecordingMailbox<core.vms.VmInput>();
   const vm = new recordingMailbox.RecordingMailbox<core.vms.VmInput>();
-  const server = new entry.links.PeerServer({ host: '127.0.0.1', port: 0, vm: received });
+  const server = new entry.links.PeerServer({
+    host: '127.0.0.1', port: 0, scheduler: new core.tasks.TaskScheduler(), vm: received,
+  });
   let to: core.vms.VmIdentity;
 
   function createConnections(transport: entry.links.PeerTransport = new entry.links.TrpcPeerTransport()): entry.links.PeerConnections {
