--- a/packages/entry/src/vms/EntryProcess.ts
+++ b/packages/entry/src/vms/EntryProcess.ts
@@ -11,7 +11,8 @@
 import * as entrySettings from './EntrySettings.js';
 import * as processLog from './ProcessLog.js';
 
-const INCARNATION_LENGTH = 12;
+// Two runs of a VM must never share an incarnation, so it does not come from the seeded source.
+const INCARNATION_BYTES = 8;
 
 /** Reason why a process does not start. */
 export interface StartFailure {
@@ -108,7 +109,7 @@
     const limits = settings.limits ?? entrySettings.DEFAULT_LIMITS;
     const vm: core.tasks.Mailbox<core.vms.VmInput> = { post: (input) => this.vm?.post(input) };
     const listener = new callers.CallerListener({
-      host, port, limits, scheduler, random, vm, connections: { post: (message) => this.parts.connections.post(message) },
+      host, port, limits, scheduler, timers, random, vm, connections: { post: (message) => this.parts.connections.post(message) },
     });
     return {
       listener,
@@ -123,7 +124,9 @@
         vm,
         onChange: (text) => log.write('warn', 'platform', text),
       }),
-      peerServer: new links.PeerServer({ host, port: peerPort, vm }),
+      peerServer: new links.PeerServer({
+        host, port: peerPort, scheduler, vm,
+      }),
       peerConnections: new links.PeerConnections({
         scheduler, timers, transport: new links.TrpcPeerTransport(), vm,
       }),
@@ -139,7 +142,7 @@
     this.vm = new core.vms.Vm({
       identity: {
         name: settings.name,
-        incarnation: random.drawToken(INCARNATION_LENGTH),
+        incarnation: crypto.randomBytes(INCARNATION_BYTES).toString('hex'),
         host: settings.advertisedHost ?? settings.host,
         port: settings.advertisedPort ?? this.port,
         peerPort: settings.advertisedPeerPort ?? this.peerPort,
