Add fakes of a deployment under virtual time and the replay of traces

Cause: the decisions of the core had no surroundings to be tried in. Change: packages/proof drives core.vms.Vm with fake links, platform, instances and callers on one event queue, checks the promises P1 to P7 and reads traces.

--- /dev/null
+++ b/packages/proof/src/callers/Sending.ts
@@ -0,0 +1,35 @@
+import type * as callRecord from './CallRecord.js';
+import type * as fakeCaller from './FakeCaller.js';
+
+/** Options of a `Sending`. */
+export interface SendingOptions {
+  readonly requestId: string;
+  readonly caller: fakeCaller.FakeCaller;
+  readonly record: callRecord.CallRecord;
+  readonly vm: string;
+  /** Until when the address answer that named the VM may be used, in milliseconds. */
+  readonly validUntilMs: number;
+}
+
+/** One sending of a request to one VM. */
+export class Sending {
+  private current: 'sent' | 'arrived' | 'ended' = 'sent';
+
+  /** @param options - Request and VM. */
+  constructor(readonly options: SendingOptions) {}
+
+  /** Whether the VM has the request, or its caller no longer waits. */
+  get state(): 'sent' | 'arrived' | 'ended' {
+    return this.current;
+  }
+
+  /** Notes that the VM has the request. */
+  markArrived(): void {
+    this.current = 'arrived';
+  }
+
+  /** Ends the sending. */
+  end(): void {
+    this.current = 'ended';
+  }
+}
--- /dev/null
+++ b/packages/proof/src/callers/index.ts
@@ -0,0 +1,7 @@
+export * from './CallBook.js';
+export type * from './CallRecord.js';
+export * from './CallerFleet.js';
+export type * from './CallerSurroundings.js';
+export * from './FakeCaller.js';
+export * from './ScriptedCaller.js';
+export type * from './Sending.js';
--- a/packages/proof/src/index.ts
+++ b/packages/proof/src/index.ts
@@ -1,1 +1,11 @@
-export {};
+export * as callers from './callers/index.js';
+export * as contracts from './contracts/index.js';
+export * as links from './links/index.js';
+export * as measure from './measure/index.js';
+export * as platform from './platform/index.js';
+export * as promises from './promises/index.js';
+export * as replay from './replay/index.js';
+export * as traces from './traces/index.js';
+export * as upstreams from './upstreams/index.js';
+export * as vms from './vms/index.js';
+export * as worlds from './worlds/index.js';
--- /dev/null
+++ b/packages/proof/src/platform/index.ts
@@ -0,0 +1,1 @@
+export * from './FakePlatform.js';
--- /dev/null
+++ b/packages/proof/src/vms/index.ts
@@ -0,0 +1,1 @@
+export * from './FakeMachine.js';
