--- a/packages/proof/src/index.ts
+++ b/packages/proof/src/index.ts
@@ -1,7 +1,9 @@
 export * as callers from './callers/index.js';
 export * as contracts from './contracts/index.js';
+export * as fuzz from './fuzz/index.js';
 export * as links from './links/index.js';
 export * as measure from './measure/index.js';
+export * as meters from './meters/index.js';
 export * as platform from './platform/index.js';
 export * as promises from './promises/index.js';
 export * as replay from './replay/index.js';
--- /dev/null
+++ b/packages/proof/src/meters/index.ts
@@ -0,0 +1,3 @@
+export * from './DetectionMeter.js';
+export * from './EjectionMeter.js';
+export * from './ServiceMeter.js';
--- a/packages/proof/src/replay/ObservedWorld.ts
+++ b/packages/proof/src/replay/ObservedWorld.ts
@@ -1,7 +1,7 @@
 import type * as core from '@tamarackferry/core';
 
 import type * as contracts from '../contracts/index.js';
-import * as measure from '../measure/index.js';
+import * as meters from '../meters/index.js';
 import * as promises from '../promises/index.js';
 import * as worlds from '../worlds/index.js';
 
@@ -20,11 +20,11 @@
 
   readonly injector: worlds.ActionInjector;
 
-  readonly services = new measure.ServiceMeter();
+  readonly services = new meters.ServiceMeter();
 
-  readonly detection: measure.DetectionMeter;
+  readonly detection: meters.DetectionMeter;
 
-  readonly ejections: measure.EjectionMeter;
+  readonly ejections: meters.EjectionMeter;
 
   readonly configuration: promises.ConfigurationCheck;
 
@@ -33,8 +33,8 @@
   /** @param options - Deployment and seed. */
   constructor(options: ObservedWorldOptions) {
     this.world = new worlds.ProofWorld(options);
-    this.detection = new measure.DetectionMeter(this.world);
-    this.ejections = new measure.EjectionMeter(this.world);
+    this.detection = new meters.DetectionMeter(this.world);
+    this.ejections = new meters.EjectionMeter(this.world);
     this.configuration = new promises.ConfigurationCheck(this.world);
     this.checks = [
       new promises.FloorCheck(this.world),
