Schedule time-outs of fake attempts only where one may come

Change: a time-out is scheduled when no answer in time is certain; attempts are kept by machine and replies are built without copies.

--- a/packages/proof/src/meters/ServiceMeter.ts
+++ b/packages/proof/src/meters/ServiceMeter.ts
@@ -1,3 +1,5 @@
+import type * as core from '@tamarackferry/core';
+
 import type * as callers from '../callers/index.js';
 import type * as worlds from '../worlds/index.js';
 
@@ -22,7 +24,7 @@
 
 /** Counts what callers asked for and what they got. */
 export class ServiceMeter {
-  private readonly counts = new Map<string, KindCounts>();
+  private readonly counts = new Map<core.contracts.RequestKind, KindCounts>();
 
   /**
    * Handles what happened.
@@ -66,8 +68,7 @@
 
   private getCounts(record: callers.CallRecord): KindCounts {
     const { kind } = record.options;
-    const key = `${record.service}/${kind.name}`;
-    const known = this.counts.get(key);
+    const known = this.counts.get(kind);
     if (known !== undefined) return known;
     const counts: KindCounts = {
       service: record.service,
@@ -81,7 +82,7 @@
       unknown: 0,
       attempts: 0,
     };
-    this.counts.set(key, counts);
+    this.counts.set(kind, counts);
     return counts;
   }
 }
--- a/packages/proof/src/upstreams/FakeConnections.ts
+++ b/packages/proof/src/upstreams/FakeConnections.ts
@@ -26,7 +26,8 @@
 
 /** Connections between fake VMs and fake instances: carries attempts, cancellations and probes. */
 export class FakeConnections {
-  private readonly attempts = new Map<string, attempts.Attempt>();
+  // Attempts in progress of the running process of each machine.
+  private readonly attempts = new Map<vms.FakeMachine, { readonly run: number; readonly open: Map<string, attempts.Attempt> }>();
 
   /** @param options - Surroundings. */
   constructor(private readonly options: FakeConnectionsOptions) {}
@@ -48,15 +49,10 @@
       echo: output.contract.requestIdEcho,
       deadlineAtMs: queue.getNowMs() + output.timeoutMs,
     });
-    this.attempts.set(FakeConnections.formatKey(machine, output.attemptId), attempt);
-    queue.schedule(output.timeoutMs, () => this.end(attempt, { type: 'timed-out' }));
+    this.getOpen(machine).set(output.attemptId, attempt);
     const delayMs = table.drawStreamDelayMs(machine.endpoint, instance.endpoint);
-    if (delayMs === undefined) return;
-    const kind = FakeConnections.findKind(output);
-    queue.schedule(delayMs, () => this.receiveAttempt(attempt, {
-      token: this.options.readToken(output.request.path),
-      serviceTimeMs: instance.plan.serviceTimeMs.get(kind) ?? PROBE_SLOT_MS,
-    }));
+    if (delayMs === undefined) this.scheduleTimeout(attempt);
+    else queue.schedule(delayMs, () => this.receiveAttempt(attempt, output));
   }
 
   /**
@@ -66,7 +62,7 @@
    */
   cancelAttempt(machine: vms.FakeMachine, attemptId: string): void {
     const { queue, links: table } = this.options;
-    const attempt = this.attempts.get(FakeConnections.formatKey(machine, attemptId));
+    const attempt = this.getOpen(machine).get(attemptId);
     if (attempt === undefined || attempt.state === 'ended') return;
     const delayMs = table.drawStreamDelayMs(machine.endpoint, attempt.options.instance.endpoint);
     const waitMs = 4 * (delayMs ?? 0) + 1;
@@ -118,22 +114,25 @@
     });
   }
 
-  private receiveAttempt(attempt: attempts.Attempt, details: { readonly token: string; readonly serviceTimeMs: number }): void {
+  private receiveAttempt(attempt: attempts.Attempt, output: Sent): void {
     const { instance } = attempt.options;
     if (instance.getState() === 'dead') {
       this.endLater(attempt, { type: 'refused' });
       return;
     }
     if (attempt.state === 'ended') return;
+    const token = this.options.readToken(output.request.path);
     const work = new upstreamRun.UpstreamRun({
-      ...details,
+      token,
+      serviceTimeMs: instance.plan.serviceTimeMs.get(FakeConnections.findKind(output)) ?? PROBE_SLOT_MS,
       deadlineAtMs: attempt.options.deadlineAtMs,
       cancellation: instance.plan.cancellation,
-      reply: (reply) => this.handleReply(attempt, details.token, reply),
+      reply: (reply) => this.handleReply(attempt, token, reply),
       reset: () => this.endLater(attempt, { type: 'reset' }),
     });
     attempt.setWork(work);
-    instance.receive(work);
+    const replyAtMs = instance.receive(work);
+    if (replyAtMs === undefined || replyAtMs >= attempt.options.deadlineAtMs) this.scheduleTimeout(attempt);
   }
 
   private handleReply(attempt: attempts.Attempt, token: string, reply: upstreamRun.InstanceReply): void {
@@ -165,14 +164,30 @@
 
   private endLater(attempt: attempts.Attempt, result: core.upstreams.AttemptResult): void {
     const delayMs = this.options.links.drawStreamDelayMs(attempt.options.instance.endpoint, attempt.options.machine.endpoint);
-    if (delayMs !== undefined) this.options.queue.schedule(delayMs, () => this.end(attempt, result));
+    const leftMs = attempt.options.deadlineAtMs - this.options.queue.getNowMs();
+    if (delayMs === undefined || delayMs >= leftMs) this.scheduleTimeout(attempt);
+    else this.options.queue.schedule(delayMs, () => this.end(attempt, result));
+  }
+
+  // Most attempts end in time, so the event is scheduled only for those that will not or may not.
+  private scheduleTimeout(attempt: attempts.Attempt): void {
+    const { queue } = this.options;
+    queue.schedule(attempt.options.deadlineAtMs - queue.getNowMs(), () => this.end(attempt, { type: 'timed-out' }));
+  }
+
+  private getOpen(machine: vms.FakeMachine): Map<string, attempts.Attempt> {
+    const known = this.attempts.get(machine);
+    if (known?.run === machine.run) return known.open;
+    const open = new Map<string, attempts.Attempt>();
+    this.attempts.set(machine, { run: machine.run, open });
+    return open;
   }
 
   private end(attempt: attempts.Attempt, result: core.upstreams.AttemptResult): void {
     if (attempt.state === 'ended') return;
     attempt.end();
-    this.attempts.delete(FakeConnections.formatKey(attempt.options.machine, attempt.options.attemptId, attempt.options.run));
     if (attempt.options.machine.run !== attempt.options.run) return;
+    this.getOpen(attempt.options.machine).delete(attempt.options.attemptId);
     this.options.onResult(attempt.options.machine, attempt.options.instance, result);
     attempt.options.machine.deliver({ type: 'attempt-ended', attemptId: attempt.options.attemptId, result });
   }
@@ -197,8 +212,4 @@
     const { method, path } = output.request;
     return output.contract.kinds.find((kind) => kind.method === method && path.startsWith(kind.pathPrefix))?.name ?? '';
   }
-
-  private static formatKey(machine: vms.FakeMachine, attemptId: string, run = machine.run): string {
-    return `${machine.endpoint.name}/${run}/${attemptId}`;
-  }
 }
--- a/packages/proof/src/upstreams/FakeInstance.ts
+++ b/packages/proof/src/upstreams/FakeInstance.ts
@@ -142,20 +142,22 @@
   }
 
   /**
-   * Takes a run, queues it, or refuses it as not run.
+   * Takes a run, queues it, or refuses it as not run. Returns when the reply leaves in milliseconds, or undefined if that is not known.
    * @param run - Work with the receiver of its reply.
    */
-  receive(run: upstreamRun.UpstreamRun): void {
+  receive(run: upstreamRun.UpstreamRun): number | undefined {
     const { slotsPerInstance } = this.options.plan.contract;
     if (this.state === 'leaving' && this.options.queue.getNowMs() >= this.refusesFromMs) {
       this.refuse(run, 'draining');
     } else if (this.running.size < slotsPerInstance) {
-      this.begin(run);
+      return this.begin(run);
     } else if (this.options.plan.overload === 'queue' && this.waiting.length < slotsPerInstance * QUEUE_PER_SLOT) {
       this.waiting.push(run);
+      return undefined;
     } else {
       this.refuse(run, 'shed');
     }
+    return this.options.queue.getNowMs();
   }
 
   /**
@@ -166,15 +168,15 @@
     if (run.state !== 'queued') return;
     this.waiting = this.waiting.filter((waiting) => waiting !== run);
     run.end();
-    if (run.options.cancellation === 'confirmed') this.reply(run, { answer: 'whole', token: run.options.token, notRun: 'cancelled' });
+    if (run.options.cancellation === 'confirmed') this.reply(run, 'whole', run.options.token, 'cancelled');
   }
 
   private refuse(run: upstreamRun.UpstreamRun, notRun: 'shed' | 'draining'): void {
     run.end();
-    this.reply(run, { answer: 'failed', token: run.options.token, notRun });
+    this.reply(run, 'failed', run.options.token, notRun);
   }
 
-  private begin(run: upstreamRun.UpstreamRun): void {
+  private begin(run: upstreamRun.UpstreamRun): number | undefined {
     const { queue, random } = this.options;
     const nowMs = queue.getNowMs();
     run.begin();
@@ -183,7 +185,9 @@
     const effect = probe || this.mode === undefined ? grayMode.HEALTHY_EFFECT : this.mode.computeEffect(nowMs, random.drawFraction());
     if (!probe) this.options.onRun(this, run.options.token);
     const variation = FIXED_SHARE - (1 - FIXED_SHARE) * Math.log(1 - random.drawFraction());
-    queue.schedule(run.options.serviceTimeMs * variation * effect.slowBy * this.computeColdFactor(nowMs), () => this.complete(run, effect));
+    const serviceTimeMs = run.options.serviceTimeMs * variation * effect.slowBy * this.computeColdFactor(nowMs);
+    queue.schedule(serviceTimeMs, () => this.complete(run, effect));
+    return effect.answer === 'silent' || effect.answer === 'late' ? undefined : nowMs + serviceTimeMs;
   }
 
   private complete(run: upstreamRun.UpstreamRun, effect: grayMode.RunEffect): void {
@@ -192,7 +196,7 @@
     this.running.delete(run);
     const token = effect.answer === 'crossed' ? this.lastToken : run.options.token;
     if (run.options.token !== '') this.lastToken = run.options.token;
-    if (effect.answer !== 'silent') this.reply(run, { answer: run.options.token === '' ? 'healthy' : effect.answer, token, notRun: undefined });
+    if (effect.answer !== 'silent') this.reply(run, run.options.token === '' ? 'healthy' : effect.answer, token, undefined);
     this.beginWaiting();
   }
 
@@ -208,9 +212,16 @@
     }
   }
 
-  private reply(run: upstreamRun.UpstreamRun, reply: Pick<upstreamRun.InstanceReply, 'answer' | 'token' | 'notRun'>): void {
+  private reply(
+    run: upstreamRun.UpstreamRun,
+    answer: upstreamRun.InstanceReply['answer'],
+    token: string,
+    notRun: upstreamRun.InstanceReply['notRun'],
+  ): void {
     run.options.reply({
-      ...reply,
+      answer,
+      token,
+      notRun,
       drain: this.state === 'leaving' ? 'leaving' : undefined,
       load: this.reportedLoad ?? this.running.size,
     });
