--- a/packages/core/src/contracts/Outcome.ts
+++ b/packages/core/src/contracts/Outcome.ts
@@ -26,6 +26,8 @@
   | 'home-unreachable'
   | 'ledger-full'
   | 'no-configuration'
+  | 'stopping'
+  | 'overloaded'
   | 'cancelled'
   | 'deadline-exceeded';
 
--- a/packages/core/src/vms/LifecycleMessage.ts
+++ b/packages/core/src/vms/LifecycleMessage.ts
@@ -1,3 +1,4 @@
+import type * as callers from '../callers/index.js';
 import type * as contracts from '../contracts/index.js';
 
 /** Message to the `LifecycleTask`. */
@@ -5,4 +6,5 @@
   | contracts.DocumentAccepted
   | { readonly type: 'stop' }
   | { readonly type: 'validity-expired' }
-  | { readonly type: 'requests-ended' };
+  | { readonly type: 'requests-ended' }
+  | callers.EvidenceFlushed;
