Send lost forwards again and keep room for each member

Cause: a lost peer message cost a forwarded operation its whole deadline, requests of one member that hang could fill the VM, and a saturated reply to a retry closed the service although it spoke only of other instances.

Change: a forward without an answer is repeated once under the same id; RequestTable holds each member to an equal part of half of the VM's bound; replies to retries and hedges do not mark the service as saturated.

Conclusion: the repeat needs no new message; at most once holds with it.

--- a/packages/core/src/callers/AttemptDispatcher.ts
+++ b/packages/core/src/callers/AttemptDispatcher.ts
@@ -97,7 +97,10 @@
     const { request } = attempt;
     const queue = this.options.queues.getQueue(request.request.service);
     const wasDraining = queue.isDraining();
-    if (reply.cause === 'saturated') queue.markSaturated(this.context.timers.getNowMs());
+    // A reply to a retry or hedge does not say that the instances which it excluded are saturated.
+    if (reply.cause === 'saturated' && attempt.role === 'only' && (wasDraining || request.tried.length === 0)) {
+      queue.markSaturated(this.context.timers.getNowMs());
+    }
     this.table.remove(attempt);
     if (attempt.state === 'released') this.ender.removeRequest(request);
     else if (attempt.role === 'hedge') {
--- a/packages/core/src/callers/ForwardTable.ts
+++ b/packages/core/src/callers/ForwardTable.ts
@@ -24,16 +24,21 @@
    * @param home - Name of the home VM.
    */
   forward(request: requestInProgress.RequestInProgress, home: string): void {
-    const { identity, mailboxes, timers } = this.context;
     // The incarnation keeps a late answer to an earlier run of this VM from matching.
-    const forwardId = `${identity.incarnation}.${this.nextForward}`;
+    const forwardId = `${this.context.identity.incarnation}.${this.nextForward}`;
     this.nextForward += 1;
     this.forwards.set(forwardId, { forwardId, home, request });
     this.forwardIds.set(request.requestId, forwardId);
-    const deadlineMs = request.deadlineAtMs - timers.getNowMs();
-    mailboxes.peers.post({
-      type: 'send', to: home, message: { type: 'operation-forwarded', forwardId, request: { ...request.request, deadlineMs } },
-    });
+    this.send({ forwardId, home, request });
+  }
+
+  /**
+   * Hands a request over once more under the same id.
+   * @param request - Request that was handed over.
+   */
+  retry(request: requestInProgress.RequestInProgress): void {
+    const forward = this.forwards.get(this.forwardIds.get(request.requestId) ?? '');
+    if (forward !== undefined) this.send(forward);
   }
 
   /**
@@ -78,4 +83,11 @@
     this.forwards.delete(this.forwardIds.get(request.requestId) ?? '');
     this.forwardIds.delete(request.requestId);
   }
+
+  private send({ forwardId, home, request }: Forward): void {
+    const deadlineMs = request.deadlineAtMs - this.context.timers.getNowMs();
+    this.context.mailboxes.peers.post({
+      type: 'send', to: home, message: { type: 'operation-forwarded', forwardId, request: { ...request.request, deadlineMs } },
+    });
+  }
 }
--- a/packages/core/src/callers/OperationRouter.ts
+++ b/packages/core/src/callers/OperationRouter.ts
@@ -1,15 +1,18 @@
 import type * as contracts from '../contracts/index.js';
+import type * as tasks from '../tasks/index.js';
 import type * as vms from '../vms/index.js';
 import type * as attemptDispatcher from './AttemptDispatcher.js';
 import type * as deadlinePolicy from './DeadlinePolicy.js';
 import * as forwardTable from './ForwardTable.js';
 import type * as requestEnder from './RequestEnder.js';
 import type * as requestInProgress from './RequestInProgress.js';
+import type * as requestMessage from './RequestMessage.js';
 
 /** Options of an `OperationRouter`. */
 export interface OperationRouterOptions {
   readonly context: vms.VmContext;
-  readonly replyTo: Extract<contracts.LedgerMessage, { type: 'begin' }>['replyTo'];
+  /** Mailbox of the request task. */
+  readonly replyTo: tasks.Mailbox<requestMessage.RequestMessage>;
   readonly ender: requestEnder.RequestEnder;
   readonly dispatcher: attemptDispatcher.AttemptDispatcher;
 }
@@ -87,6 +90,14 @@
     }
   }
 
+  /**
+   * Sends a forward again whose answer is missing at half of its time. The home VM answers a repeat from its ledger.
+   * @param request - Request that was forwarded.
+   */
+  retryForward(request: requestInProgress.RequestInProgress): void {
+    if (this.deadlines.canDispatch(this.options.context.timers.getNowMs(), request.deadlineAtMs)) this.forwards.retry(request);
+  }
+
   /**
    * Ends a forwarded request with the outcome of its home VM.
    * @param from - VM that sent the outcome.
@@ -142,8 +153,14 @@
       this.options.ender.endRequest(request, { type: 'unknown', reason });
       return;
     }
+    const { context, replyTo } = this.options;
     request.markPhase('forwarded');
     this.forwards.forward(request, home);
+    request.setHedgeTimer(context.timers.subscribe({
+      mailbox: replyTo,
+      message: { type: 'hedge-due', requestId: request.requestId },
+      delayMs: (request.deadlineAtMs - context.timers.getNowMs()) / 2,
+    }));
   }
 
   private getForwardFailure(request: requestInProgress.RequestInProgress): contracts.UnknownReason | undefined {
--- a/packages/core/src/callers/RequestMessage.ts
+++ b/packages/core/src/callers/RequestMessage.ts
@@ -32,6 +32,7 @@
   | contracts.LedgerReply
   | contracts.DocumentAccepted
   | { readonly type: 'deadline'; readonly requestId: string }
+  /** A second attempt is due, or the second copy of a forward. */
   | { readonly type: 'hedge-due'; readonly requestId: string }
   | { readonly type: 'status-requested'; readonly replyTo: tasks.Mailbox<RequestStatus> }
   /** The VM stops. `requests-ended` is sent to the mailbox when no request is left. */
--- /dev/null
+++ b/packages/core/src/callers/RequestTable.ts
@@ -0,0 +1,56 @@
+import type * as requestInProgress from './RequestInProgress.js';
+
+/** Requests in progress of one VM, bounded in such a way that no member takes the room of the others. */
+export class RequestTable {
+  private readonly requests = new Map<string, requestInProgress.RequestInProgress>();
+
+  private readonly countsByMember = new Map<string, number>();
+
+  /** @param maxRequests - Number of requests that the VM holds at most. */
+  constructor(private readonly maxRequests: number) {}
+
+  /**
+   * Gets a request that has not been removed.
+   * @param requestId - Id of the request.
+   */
+  getRequest(requestId: string): requestInProgress.RequestInProgress | undefined {
+    return this.requests.get(requestId);
+  }
+
+  /**
+   * Tells whether a request of a member may be served. From half of the bound on, each member is held to an equal part of that half.
+   * @param member - Name of the member.
+   */
+  canAdmit(member: string): boolean {
+    const half = this.maxRequests / 2;
+    if (this.requests.size < half) return true;
+    const count = this.countsByMember.get(member) ?? 0;
+    const members = this.countsByMember.size + (count === 0 ? 1 : 0);
+    return this.requests.size < this.maxRequests && count < half / members;
+  }
+
+  /**
+   * Adds a request.
+   * @param request - Request that arrived.
+   */
+  add(request: requestInProgress.RequestInProgress): void {
+    this.requests.set(request.requestId, request);
+    this.countsByMember.set(request.memberName, (this.countsByMember.get(request.memberName) ?? 0) + 1);
+  }
+
+  /**
+   * Removes a request.
+   * @param request - Request whose last attempt has ended.
+   */
+  remove(request: requestInProgress.RequestInProgress): void {
+    if (!this.requests.delete(request.requestId)) return;
+    const left = (this.countsByMember.get(request.memberName) ?? 0) - 1;
+    if (left > 0) this.countsByMember.set(request.memberName, left);
+    else this.countsByMember.delete(request.memberName);
+  }
+
+  /** Counts the requests. */
+  count(): number {
+    return this.requests.size;
+  }
+}
--- a/packages/core/src/callers/RequestTask.ts
+++ b/packages/core/src/callers/RequestTask.ts
@@ -11,6 +11,7 @@
 import type * as requestEnder from './RequestEnder.js';
 import * as requestInProgress from './RequestInProgress.js';
 import type * as requestMessage from './RequestMessage.js';
+import * as requestTable from './RequestTable.js';
 import * as serviceQueueTable from './ServiceQueueTable.js';
 
 const MAX_REQUESTS = 10_000;
@@ -20,7 +21,7 @@
 
 /** Owns the requests in progress from their arrival until their last attempt has ended. */
 export class RequestTask extends tasks.Task<requestMessage.RequestMessage> implements requestEnder.RequestEnder {
-  private readonly requests = new Map<string, requestInProgress.RequestInProgress>();
+  private readonly requests = new requestTable.RequestTable(MAX_REQUESTS);
 
   private readonly classifier: requestClassifier.RequestClassifier;
 
@@ -67,7 +68,7 @@
         this.beginRequest(message.requestId, message.request, { type: 'caller' });
         break;
       case 'caller-gone':
-        this.endSender(this.requests.get(message.requestId));
+        this.endSender(this.requests.getRequest(message.requestId));
         break;
       case 'forwarded': {
         const { from, forwardId, request } = message;
@@ -75,7 +76,7 @@
         break;
       }
       case 'forward-cancelled':
-        this.endSender(this.requests.get(RequestTask.formatForwardKey(message)));
+        this.endSender(this.requests.getRequest(RequestTask.formatForwardKey(message)));
         break;
       case 'forward-ended':
         this.router.endForward(message.from, message.forwardId, message.outcome);
@@ -136,13 +137,13 @@
   removeRequest(request: requestInProgress.RequestInProgress): void {
     if (request.phase !== 'ended' || request.attempts.length > 0) return;
     request.cancelTimers();
-    this.requests.delete(request.requestId);
+    this.requests.remove(request);
     this.notifyIfEnded();
   }
 
   private beginRequest(requestId: string, sent: callerRequest.CallerRequest, origin: requestInProgress.RequestOrigin): void {
     // The sender of a duplicated forward gets the answer of the first one.
-    if (this.requests.has(requestId)) return;
+    if (this.requests.getRequest(requestId) !== undefined) return;
     const found = this.classifier.findClass(sent);
     const requestClass = typeof found === 'string' ? undefined : found;
     const arrivedAtMs = this.context.timers.getNowMs();
@@ -152,21 +153,22 @@
       request: sent,
       origin,
       requestClass,
-      rejection: this.getVmRejection() ?? (typeof found === 'string' ? found : undefined),
+      rejection: this.getVmRejection(sent.member) ?? (typeof found === 'string' ? found : undefined),
       arrivedAtMs,
       deadlineAtMs: arrivedAtMs + deadlineMs,
     });
-    this.requests.set(requestId, request);
+    this.requests.add(request);
     this.setBound(request, 'deadline', deadlineMs);
     this.router.begin(request);
   }
 
   private resumeRequest(message: Extract<requestMessage.RequestMessage, { readonly requestId: string }>): void {
-    const request = this.requests.get(message.requestId);
+    const request = this.requests.getRequest(message.requestId);
     if (request === undefined) return;
     if (message.type === 'deadline') this.handleBound(request);
     if (request.phase === 'ended' || message.type === 'deadline') return;
-    if (message.type === 'hedge-due') this.dispatcher.handleHedge(request);
+    if (message.type === 'hedge-due' && request.phase === 'forwarded') this.router.retryForward(request);
+    else if (message.type === 'hedge-due') this.dispatcher.handleHedge(request);
     else if (message.type !== 'caller-request' && message.type !== 'caller-gone') this.router.handleReply(request, message);
   }
 
@@ -206,13 +208,13 @@
     request.setTimer(bound, this.context.timers.subscribe({ mailbox: this, message: { type: 'deadline', requestId: request.requestId }, delayMs }));
   }
 
-  private getVmRejection(): 'stopping' | 'overloaded' | undefined {
+  private getVmRejection(member: string): 'stopping' | 'overloaded' | undefined {
     if (this.state !== 'serving') return 'stopping';
-    return this.requests.size >= MAX_REQUESTS ? 'overloaded' : undefined;
+    return this.requests.canAdmit(member) ? undefined : 'overloaded';
   }
 
   private notifyIfEnded(): void {
-    if (this.state !== 'stopping' || this.requests.size > 0) return;
+    if (this.state !== 'stopping' || this.requests.count() > 0) return;
     this.state = 'ended';
     this.stopReplyTo?.post({ type: 'requests-ended' });
   }
@@ -221,7 +223,7 @@
     const counts = this.reporter.getCounts();
     return {
       type: 'request-status',
-      inFlight: this.requests.size,
+      inFlight: this.requests.count(),
       queued: this.queues.countWaiting(),
       answered: counts.answered,
       notRun: counts['not-run'],
--- a/packages/core/src/callers/index.ts
+++ b/packages/core/src/callers/index.ts
@@ -24,6 +24,7 @@
 export type * from './RequestEnder.js';
 export * from './RequestInProgress.js';
 export type * from './RequestMessage.js';
+export * from './RequestTable.js';
 export * from './RequestTask.js';
 export * from './RetryBudget.js';
 export * from './RetryPolicy.js';
--- a/packages/core/test/TestVm.ts
+++ b/packages/core/test/TestVm.ts
@@ -17,6 +17,9 @@
   answerDigest: 'absent',
   kinds: [
     { ...KIND, name: 'read' },
+    {
+      ...KIND, name: 'report', pathPrefix: '/read/report', priority: 'background',
+    },
     {
       ...KIND, name: 'order', method: 'POST', pathPrefix: '/order', repeatability: 'non-idempotent',
     },
@@ -27,6 +30,7 @@
 export interface TestVmOptions {
   readonly timers?: core.time.VirtualTimerService;
   readonly name?: string;
+  readonly incarnation?: string;
   readonly rules?: Partial<core.vms.VmRules>;
   readonly contract?: Partial<core.contracts.ServiceContract>;
   /** Slots of all instances together. */
@@ -76,7 +80,7 @@
     } as unknown as { -readonly [Name in keyof core.vms.VmMailboxes]: core.vms.VmMailboxes[Name] };
     const context: core.vms.VmContext = {
       identity: {
-        name: this.name, incarnation: `${this.name}x`, host: '10.0.0.1', port: 1, peerPort: 2, place: 'a',
+        name: this.name, incarnation: options.incarnation ?? `${this.name}x`, host: '10.0.0.1', port: 1, peerPort: 2, place: 'a',
       },
       deployment: 'test',
       scheduler: new core.tasks.TaskScheduler(),
@@ -119,11 +123,14 @@
     return `${this.name}.${this.name}x.${epoch}.${nonce}`;
   }
 
-  read(requestId: string, overrides: Partial<core.callers.CallerRequest> = {}): void {
-    const request = {
+  buildRequest(): core.callers.CallerRequest {
+    return {
       service: 'orders', method: 'GET', path: '/read', headers: [], body: new Uint8Array(), digest: '', member: 'museum', deadlineMs: undefined, operationId: undefined,
     };
-    this.requests.post({ type: 'caller-request', requestId, request: { ...request, ...overrides } });
+  }
+
+  read(requestId: string, overrides: Partial<core.callers.CallerRequest> = {}): void {
+    this.requests.post({ type: 'caller-request', requestId, request: { ...this.buildRequest(), ...overrides } });
   }
 
   sendOrder(requestId: string, operationId: string | undefined, overrides: Partial<core.callers.CallerRequest> = {}): void {
--- a/packages/core/test/callers/FairAdmissionPolicy.test.ts
+++ b/packages/core/test/callers/FairAdmissionPolicy.test.ts
@@ -65,4 +65,22 @@
     vm.read('long', { deadlineMs: 5_000 });
     vitest.expect([vm.formatOutcome('short'), vm.formatOutcome('long')]).toEqual(['not-run overloaded', 'none']);
   });
+
+  vitest.it('serves four interactive requests for each background request (guards against starved classes)', () => {
+    const vm = new testVm.TestVm({ slots: 1 });
+    vm.read('first');
+    Array.from({ length: 40 }, (_, index) => vm.read(`b-${index}`, { path: '/read/report/1' }));
+    Array.from({ length: 40 }, (_, index) => vm.read(`i-${index}`));
+    Array.from({ length: 20 }, () => vm.answerAttempt());
+    const served = vm.listAttempts().slice(1).map((attempt) => attempt.request.path);
+    vitest.expect(served.filter((path) => path === '/read/report/1').length).toBe(4);
+  });
+
+  vitest.it('keeps room on the VM for other members (guards against a member whose requests hang)', () => {
+    const vm = new testVm.TestVm();
+    Array.from({ length: 6_000 }, (_, index) => vm.sendOrder(`f-${index}`, `vm-2.x.0.n${index}`));
+    vm.read('other', { member: 'archive' });
+    vm.answerAttempt();
+    vitest.expect([vm.formatOutcome('f-4999'), vm.formatOutcome('f-5000'), vm.formatOutcome('other')]).toEqual(['none', 'unknown overloaded', 'answered']);
+  });
 });
--- a/packages/core/test/callers/RequestTask.test.ts
+++ b/packages/core/test/callers/RequestTask.test.ts
@@ -212,4 +212,42 @@
     vitest.expect(['read', 'home', 'repeat'].map((name) => bare.formatOutcome(name)))
       .toEqual(['not-run no-configuration', 'not-run no-configuration', 'not-run no-configuration']);
   });
+
+  vitest.it('forwards to the home and believes only the home (guards against outcomes of other VMs and of earlier runs)', () => {
+    const vm = new testVm.TestVm();
+    vm.sendOrder('r', 'vm-2.x.0.n', { deadlineMs: 800 });
+    vm.sendOrder('silent', 'vm-2.x.0.m');
+    const [forward] = vm.peerMessages;
+    vitest.expect(forward).toMatchObject({ to: 'vm-2', message: { type: 'operation-forwarded', request: { deadlineMs: 800, operationId: 'vm-2.x.0.n' } } });
+    const { forwardId } = forward!.message as { readonly forwardId: string };
+    const outcome = { type: 'not-run', reason: 'overloaded', retryAfterMs: 1 } as const;
+    vm.requests.post({
+      type: 'forward-ended', from: 'vm-3', forwardId, outcome,
+    });
+    vitest.expect(vm.formatOutcome('r')).toBe('none');
+    vm.requests.post({
+      type: 'forward-ended', from: 'vm-2', forwardId, outcome,
+    });
+    vm.timers.advanceTo(1_000);
+    vitest.expect([vm.formatOutcome('r'), vm.formatOutcome('silent')]).toEqual(['not-run overloaded', 'unknown home-unreachable']);
+    // The forward without an answer is sent once more, under the same id and with the time that is left.
+    vitest.expect(vm.peerMessages.slice(1).map(({ message }) => message.type === 'operation-forwarded' && message.request.deadlineMs)).toEqual([1_000, 500]);
+  });
+
+  vitest.it('answers a forwarded operation once it ends and never forwards it on (guards against loops between VMs)', () => {
+    const vm = new testVm.TestVm();
+    const request = {
+      ...vm.buildRequest(), method: 'POST', path: '/order', operationId: vm.buildId('n'),
+    };
+    const forwarded = {
+      type: 'forwarded', from: 'vm-2', forwardId: 'f', request,
+    } as const;
+    vm.requests.post(forwarded);
+    vm.requests.post(forwarded);
+    vm.answerAttempt();
+    vm.requests.post(forwarded);
+    vm.requests.post({ ...forwarded, forwardId: 'g', request: { ...request, operationId: 'vm-3.x.0.n' } });
+    vitest.expect(vm.listAttempts().length).toBe(1);
+    vitest.expect(vm.peerMessages.map(({ message }) => message.type === 'operation-ended' && message.outcome.type)).toEqual(['answered', 'answered', 'unknown']);
+  });
 });
