Check the invariants of requests under mixed faults

Cause: the fleet test covers operations only; nothing drove hedges, large answers, saturation, cancellation and a stop together.

Change: a seeded test runs 400 requests through one VM and checks that each ends once, gives its slot back once, is counted once, is never falsely told "not run" and that retries and hedges stay within a tenth. The handlers of the dispatcher have full doc comments.

Conclusion: no fault of the sources was found by this test.

--- a/packages/core/src/callers/AttemptDispatcher.ts
+++ b/packages/core/src/callers/AttemptDispatcher.ts
@@ -68,7 +68,10 @@
     this.admit(request, queue);
   }
 
-  /** @internal */
+  /**
+   * Sends an attempt that got an instance.
+   * @param reply - Instance for the attempt.
+   */
   handleAssigned(reply: Extract<upstreams.AcquireReply, { type: 'assigned' }>): void {
     const attempt = this.table.getAttempt(reply.attemptId);
     if (attempt === undefined) {
@@ -90,7 +93,10 @@
     this.drainQueue(queue);
   }
 
-  /** @internal */
+  /**
+   * Lets a request wait, or ends it, after an attempt got no instance.
+   * @param reply - Why there is none.
+   */
   handleUnavailable(reply: Extract<upstreams.AcquireReply, { type: 'unavailable' }>): void {
     const attempt = this.table.getAttempt(reply.attemptId);
     if (attempt === undefined) return;
@@ -114,13 +120,20 @@
     this.drainQueue(queue);
   }
 
-  /** @internal */
+  /**
+   * Sends waiting requests.
+   * @param service - Service that can take more work.
+   */
   handleCapacity(service: string): void {
     const queue = this.options.queues.getQueue(service);
     if (!queue.isDraining()) this.sendNext(queue);
   }
 
-  /** @internal */
+  /**
+   * Ends an attempt and decides about its request.
+   * @param attemptId - Id of the attempt.
+   * @param result - How it ended.
+   */
   handleEnded(attemptId: string, result: upstreams.AttemptResult): void {
     const attempt = this.table.getAttempt(attemptId);
     const { request } = attempt ?? {};
@@ -135,7 +148,11 @@
     else this.resolveVerdict(request, attempt.limitVerdict(meaning.verdict));
   }
 
-  /** @internal */
+  /**
+   * Streams or cancels an answer that exceeds the buffer limit.
+   * @param attemptId - Id of the attempt.
+   * @param echo - Comparison of the echoed request id with the one sent.
+   */
   handleOverflow(attemptId: string, echo: 'matched' | 'mismatched' | 'absent'): void {
     const attempt = this.table.getAttempt(attemptId);
     if (attempt === undefined || attempt.state !== 'sent') return;
@@ -151,7 +168,10 @@
     this.context.outbox.post({ type: attempt.overflow === 'streaming' ? 'stream-attempt' : 'cancel-attempt', attemptId });
   }
 
-  /** @internal */
+  /**
+   * Sends a second attempt if the first one is still the only one.
+   * @param request - Request whose hedge is due.
+   */
   handleHedge(request: requestInProgress.RequestInProgress): void {
     const waits = request.phase === 'attempting' && request.listener === 'waiting' && request.attempts.length === 1;
     if (!waits || !request.hasSentAttempt() || !this.options.queues.getQueue(request.request.service).budget.take()) return;
--- a/packages/core/src/callers/DeadlinePolicy.ts
+++ b/packages/core/src/callers/DeadlinePolicy.ts
@@ -3,6 +3,8 @@
 // For a request of unknown kind whose home VM may know the kind.
 const FALLBACK_DEADLINE_MS = 10_000;
 
+const RUN_ON_MS = 30_000;
+
 /** Rules for the deadlines of requests. */
 export class DeadlinePolicy {
   /**
@@ -26,6 +28,6 @@
 
   /** Gets the time for which an operation may run on after the deadline of its caller, in milliseconds. */
   getRunOnMs(): number {
-    return 30_000;
+    return RUN_ON_MS;
   }
 }
--- /dev/null
+++ b/packages/core/test/callers/RequestInvariants.test.ts
@@ -0,0 +1,79 @@
+import * as core from '@tamarackferry/core';
+import * as vitest from 'vitest';
+
+import * as endlessRetryBudget from '../faults/EndlessRetryBudget.js';
+import * as rules from '../faults/rules.js';
+import * as testVm from '../TestVm.js';
+
+const REQUESTS = 400;
+
+const ENDINGS = ['good', 'good', 'good', 'error', 'shed', 'refused', 'reset', 'truncated', 'mismatched', 'large', 'hanging', 'lost'] as const;
+
+// One VM with hedges and callers that give up, in front of upstreams that end attempts in every way.
+function listViolations(seed: number, slots: number, vmRules: Partial<core.vms.VmRules> = {}): readonly string[] {
+  const random = new core.randomness.SeededRandomSource(seed);
+  const vm = new testVm.TestVm({ slots, hedgeAfterMs: 40, rules: vmRules });
+  const mayHaveRun = new Set<string>();
+  const due: { readonly atMs: number; readonly deliver: () => void }[] = [];
+  let seen = 0;
+  const endAttempt = (nowMs: number, { attemptId, requestId }: { readonly attemptId: string; readonly requestId: string }): void => {
+    const ending = random.pickItem(ENDINGS)!;
+    if (ending !== 'shed' && ending !== 'refused') mayHaveRun.add(requestId);
+    const atMs = nowMs + (ending === 'hanging' ? 5_000 : random.drawInteger(120));
+    due.push({
+      atMs,
+      deliver: () => {
+        if (ending === 'lost') return;
+        if (ending === 'refused' || ending === 'reset' || ending === 'truncated') vm.endAttempt({ type: ending }, attemptId);
+        else if (ending === 'large') {
+          vm.requests.post({ type: 'attempt-overflowed', attemptId, echo: 'matched' });
+          due.push({ atMs: atMs + 50, deliver: () => vm.endAttempt({ type: 'streamed' }, attemptId) });
+        } else {
+          const answer = { status: ending === 'error' ? 500 : 200, headers: [], body: new Uint8Array() };
+          vm.answerAttempt({ answer, echo: ending === 'mismatched' ? ending : 'matched', notRun: ending === 'shed' ? ending : undefined }, attemptId);
+        }
+      },
+    });
+  };
+  Array.from({ length: 12_000 }, (_, step) => step * 5).forEach((nowMs) => {
+    vm.timers.advanceTo(nowMs);
+    due.splice(0).forEach((event) => (event.atMs <= nowMs ? event.deliver() : due.push(event)));
+    const index = nowMs / 15;
+    if (index < REQUESTS && Number.isInteger(index)) {
+      const requestId = `r-${index}`;
+      const member = random.pickItem(['museum', 'archive', 'school'])!;
+      if (random.drawFraction() < 0.4) vm.sendOrder(requestId, vm.buildId(`n-${index}`), { member });
+      else vm.read(requestId, { member });
+      if (random.drawFraction() < 0.1) {
+        due.push({ atMs: nowMs + random.drawInteger(100), deliver: () => vm.requests.post({ type: 'caller-gone', requestId }) });
+      }
+    }
+    if (nowMs === 15 * REQUESTS) vm.stop();
+    vm.outputs.slice(seen).forEach((output) => {
+      if (output.type === 'send-attempt') endAttempt(nowMs, output);
+      if (output.type === 'cancel-attempt') due.push({ atMs: nowMs, deliver: () => vm.endAttempt({ type: 'cancelled', confirmation: 'silent' }, output.attemptId) });
+    });
+    seen = vm.outputs.length;
+  });
+  const ids = Array.from({ length: REQUESTS }, (_, index) => `r-${index}`);
+  const extraAttempts = vm.listAttempts().length - new Set(vm.listAttempts().map((attempt) => attempt.requestId)).size;
+  return [
+    ...ids.filter((id) => vm.listOutcomes(id).length > 1).map((id) => `answered twice ${id}`),
+    ...ids.filter((id) => mayHaveRun.has(id) && vm.formatOutcome(id).startsWith('not-run')).map((id) => `false not-run ${id}`),
+    ...[...vm.observed].filter(([, observations]) => observations.length !== 1).map(([id]) => `not observed once ${id}`),
+    ...vm.evidence.length === REQUESTS ? [] : [`evidence of ${vm.evidence.length}`],
+    ...vm.stoppedCount === 1 ? [] : ['not stopped once'],
+    ...extraAttempts <= 0.1 * REQUESTS ? [] : ['too many attempts'],
+  ];
+}
+
+vitest.describe('requests under mixed faults', () => {
+  vitest.it.each([[1, 6], [2, 40], [3, 40]])('end once, give every slot back and stay within the budget, seed %i, %i slots (guards against leaks between the parts)', (seed, slots) => {
+    vitest.expect(listViolations(seed, slots)).toEqual([]);
+  });
+
+  vitest.it('finds a planted fault (guards against a check that sees nothing)', () => {
+    const endless = rules.buildCallerRules({ createRetryBudget: () => new endlessRetryBudget.EndlessRetryBudget() });
+    vitest.expect(listViolations(1, 40, endless)).toEqual(['too many attempts']);
+  });
+});
