Check that a shed operation stays not run

Cause: no test showed that shedding at the home VM is recorded.

Change: the test of early shedding sends an operation and a repeat of it with more time; both must be told "not run".

Conclusion: shedding at the home VM goes through the ledger.

--- a/packages/core/test/callers/FairAdmissionPolicy.test.ts
+++ b/packages/core/test/callers/FairAdmissionPolicy.test.ts
@@ -63,7 +63,10 @@
     });
     vm.read('short', { deadlineMs: 200 });
     vm.read('long', { deadlineMs: 5_000 });
-    vitest.expect([vm.formatOutcome('short'), vm.formatOutcome('long')]).toEqual(['not-run overloaded', 'none']);
+    vm.sendOrder('order', vm.buildId('n'), { deadlineMs: 200 });
+    vm.sendOrder('repeat', vm.buildId('n'), { deadlineMs: 5_000 });
+    const notRun = 'not-run overloaded';
+    vitest.expect(['short', 'long', 'order', 'repeat'].map((name) => vm.formatOutcome(name))).toEqual([notRun, 'none', notRun, notRun]);
   });
 
   vitest.it('serves four interactive requests for each background request (guards against starved classes)', () => {
