Bound the checks of silent peers and clear ejections of peers that are gone

Cause: after the loss of a place every VM tried the same dead peers again for each asker, a dead peer's ejections counted against the floor for ever, and a VM without a document waited for its next poll.

Change: a recent result is reported without a new try; ejections of replaced and unreachable peers are cleared; a VM that holds no document watches the platform; tests of the sequence window with a faulty one.

--- a/packages/core/src/vms/Peer.ts
+++ b/packages/core/src/vms/Peer.ts
@@ -10,6 +10,9 @@
 // A VM usually starts within seconds, and the news that it serves may get lost on its way to a peer that is not active.
 const STARTING_KEEP_MS = 15_000;
 
+// After the loss of a place, every VM asks others about the same peers; what was found just now need not be tried again.
+const RECENT_RESULT_MS = 2_000;
+
 /** What this VM knows about one other VM. */
 export class Peer {
   /** State in the platform's list, or how else the peer became known. */
@@ -93,6 +96,15 @@
     this.reachability.recordAsked(nowMs);
   }
 
+  /**
+   * Gets the result of a check that another VM asks for, if this VM has made one lately.
+   * @param nowMs - Present time in milliseconds.
+   */
+  getRecentResult(nowMs: number): 'reached' | 'silent' | undefined {
+    if (nowMs - this.lastHeardMs < RECENT_RESULT_MS) return 'reached';
+    return this.reachability.getState() === 'unreachable' && !this.reachability.isDue(nowMs) ? 'silent' : undefined;
+  }
+
   /**
    * Makes another incarnation the present one.
    * @param identity - Identity of the incarnation.
--- a/packages/core/src/vms/PeerInbox.ts
+++ b/packages/core/src/vms/PeerInbox.ts
@@ -16,10 +16,37 @@
 
 /** What the inbox asks of the `PeerTask` that owns it. */
 export interface PeerInboxOwner {
+  /**
+   * Sends an exchange to a peer and records that the peer owes an answer.
+   * @param peer - Peer to ask.
+   */
   requestExchange(peer: peerModule.Peer): void;
+
+  /**
+   * Sends an exchange without recording it.
+   * @param to - Receiver.
+   * @param direction - Whether an exchange is asked for in return.
+   */
   sendExchange(to: vmIdentity.VmIdentity, direction: 'request' | 'reply'): void;
+
+  /**
+   * Sends any message to a VM.
+   * @param to - Receiver.
+   * @param message - Message to send.
+   */
   sendMessage(to: vmIdentity.VmIdentity, message: peerMessage.PeerMessage): void;
+
+  /**
+   * Records drain notices, and passes on those that are new.
+   * @param notices - Notices that were learned.
+   * @param source - Whether an upstream of this VM or a peer gave them.
+   */
   recordDrains(notices: readonly upstreams.DrainNotice[], source: 'own' | 'peer'): void;
+
+  /**
+   * Publishes the view if a peer has changed.
+   * @param peer - Peer that may have changed.
+   */
   publishPeer(peer: peerModule.Peer): void;
 }
 
@@ -82,6 +109,17 @@
     });
   }
 
+  /**
+   * Clears the ejections of a peer that is gone, so that they no longer count against the floor.
+   * @param peer - Peer that was replaced or is unreachable.
+   */
+  clearEjections(peer: peerModule.Peer): void {
+    if (peer.ejections === 'none') return;
+    // eslint-disable-next-line no-param-reassign -- the inbox updates the peers of the view that it was given
+    peer.ejections = 'none';
+    this.options.context.mailboxes.upstreams.post({ type: 'peer-ejections', from: peer.identity.name, notices: [] });
+  }
+
   private resolveSender(peer: peerModule.Peer, from: vmIdentity.VmIdentity, nowMs: number): 'present' | 'challenger' {
     if (peer.identity.incarnation === from.incarnation) return 'present';
     // A peer that was never heard, or that nobody reaches, has no incarnation that could contest the new one.
@@ -89,6 +127,7 @@
     const decision = contested ? peer.incarnations.decide(from, nowMs) : 'replace';
     if (decision === 'replace') {
       peer.setIncarnation(from);
+      this.clearEjections(peer);
       return 'present';
     }
     if (decision === 'ask-both') [peer.identity, from].forEach((identity) => this.options.owner.sendExchange(identity, 'request'));
@@ -197,8 +236,13 @@
       return;
     }
     const nowMs = context.timers.getNowMs();
-    this.options.reach.addCheck(from.name, target, nowMs);
     const known = view.findPeer(target.name);
+    const result = known?.getRecentResult(nowMs);
+    if (known !== undefined && result !== undefined) {
+      this.reportReach({ asker: from.name, target: known.identity, result });
+      return;
+    }
+    this.options.reach.addCheck(from.name, target, nowMs);
     if (known === undefined) {
       owner.sendExchange(target, 'request');
       return;
--- a/packages/core/src/vms/PeerTask.ts
+++ b/packages/core/src/vms/PeerTask.ts
@@ -143,7 +143,7 @@
     }
   }
 
-  /** @internal */
+  /** @inheritdoc */
   recordDrains(notices: readonly upstreams.DrainNotice[], source: 'own' | 'peer'): void {
     const fresh = this.drains.addNotices(notices, this.context.timers.getNowMs());
     if (fresh.length === 0) return;
@@ -153,24 +153,24 @@
     this.sender.sendToAll(receivers, { type: 'drain', notices: fresh });
   }
 
-  /** @internal */
+  /** @inheritdoc */
   sendExchange(to: vmIdentity.VmIdentity, direction: 'request' | 'reply'): void {
     const own = { state: this.state, document: this.document.held };
     this.sender.send(to, this.exchanges.buildExchange(to, direction, own, this.context.timers.getNowMs()));
   }
 
-  /** @internal */
+  /** @inheritdoc */
   requestExchange(peer: peerModule.Peer): void {
     peer.recordAsked(this.context.timers.getNowMs());
     this.sendExchange(peer.identity, 'request');
   }
 
-  /** @internal */
+  /** @inheritdoc */
   sendMessage(to: vmIdentity.VmIdentity, message: peerMessage.PeerMessage): void {
     this.sender.send(to, message);
   }
 
-  /** @internal */
+  /** @inheritdoc */
   publishPeer(peer: peerModule.Peer): void {
     if (viewPublisher.ViewPublisher.isChanged(peer, this.context.timers.getNowMs())) this.publishView();
   }
@@ -216,6 +216,7 @@
     this.view.pruneAbsent(nowMs);
     if (this.ticks % ROTATION_TICKS === 0) this.view.rotateActive();
     this.watch.evaluatePeers(nowMs);
+    this.view.listActive().filter((peer) => peer.reachability.getState() === 'unreachable').forEach((peer) => this.inbox.clearEjections(peer));
     this.view.listPeers().forEach((peer) => this.probeChallenger(peer, nowMs));
     this.requestExchanges(nowMs);
     this.reach.takeSilent(nowMs).forEach((report) => this.inbox.reportReach(report));
@@ -235,7 +236,9 @@
   }
 
   private updateMode(): void {
-    const mode = this.role.chooseMode(this.publisher.getPublished(), this.state, this.document.standing);
+    // Without any document the next poll would come too late, so a VM that starts watches the platform.
+    const standing = this.document.held === undefined ? 'behind' : this.document.standing;
+    const mode = this.role.chooseMode(this.publisher.getPublished(), this.state, standing);
     if (mode === this.mode) return;
     this.mode = mode;
     this.context.outbox.post({ type: 'platform-mode', mode });
--- /dev/null
+++ b/packages/core/test/links/OpenSequenceWindow.ts
@@ -0,0 +1,8 @@
+import * as core from '@tamarackferry/core';
+
+/** Faulty rule: every message is handled, however late. */
+export class OpenSequenceWindow extends core.links.SequenceWindow {
+  override accept(): 'fresh' {
+    return 'fresh';
+  }
+}
--- /dev/null
+++ b/packages/core/test/links/SequenceWindow.test.ts
@@ -0,0 +1,35 @@
+import * as core from '@tamarackferry/core';
+import * as vitest from 'vitest';
+
+import * as testFleet from '../vms/TestFleet.js';
+import * as openSequenceWindow from './OpenSequenceWindow.js';
+
+function getStateAfterOvertaking(createSequenceWindow: () => core.links.SequenceWindow): string | undefined {
+  const fleet = testFleet.TestFleet.start(3, 89, { peers: Object.assign(new core.vms.PeerRules(), { createSequenceWindow }) });
+  const [node, peer] = fleet.nodes;
+  [['serving', 900_001], ['starting', 900_000]].forEach(([state, sequence]) => node!.vm.post({
+    type: 'peer-envelope',
+    envelope: {
+      format: 1,
+      from: peer!.identity,
+      sequence: Number(sequence),
+      message: {
+        type: 'exchange', direction: 'reply', document: undefined, state: state as 'starting', drains: [], ejections: [], peers: [],
+      },
+    },
+  }));
+  return fleet.getStatus(node!).peers.peers.find((other) => other.identity.name === peer!.identity.name)?.state;
+}
+
+vitest.describe('SequenceWindow', () => {
+  vitest.it('drops an exchange that a newer one has overtaken (guards against a state that goes back)', () => {
+    vitest.expect(getStateAfterOvertaking(() => new core.links.SequenceWindow())).toBe('reachable');
+    vitest.expect(getStateAfterOvertaking(() => new openSequenceWindow.OpenSequenceWindow())).toBe('starting');
+  });
+
+  vitest.it('drops duplicates and keeps late messages of other types (guards against handling a message twice and against lost news)', () => {
+    const window = new core.links.SequenceWindow();
+    vitest.expect(['exchange', 'other', 'other', 'exchange', 'exchange'].map((kind, index) => window
+      .accept([7, 5, 5, 7, 9][index]!, kind as 'exchange'))).toEqual(['fresh', 'fresh', 'duplicate', 'duplicate', 'fresh']);
+  });
+});
