Split the reach checks from the peer inbox

Change: ReachRelay owns the checks for and reports of other peers, PendingChecks their deadlines, PeerActions what both ask of the PeerTask. No change in behaviour.

Conclusion: one concern a class.

--- a/packages/core/src/vms/PeerInbox.ts
+++ b/packages/core/src/vms/PeerInbox.ts
@@ -1,8 +1,8 @@
-import type * as upstreams from '../upstreams/index.js';
 import type * as dropLog from './DropLog.js';
 import * as envelopeCheck from './EnvelopeCheck.js';
 import type * as partialView from './PartialView.js';
 import type * as peerModule from './Peer.js';
+import type * as peerActions from './PeerActions.js';
 import type * as peerMessage from './PeerMessage.js';
 import type * as reachRelay from './ReachRelay.js';
 import type * as vmContext from './VmContext.js';
@@ -10,53 +10,13 @@
 
 const SAMPLE_LIMIT = 8;
 
-const SAMPLE_RETRY_MS = 5_000;
-
-const RECENT_CONTACT_MS = 2_000;
-
-/** What the inbox asks of the `PeerTask` that owns it. */
-export interface PeerInboxOwner {
-  /**
-   * Sends an exchange to a peer and records that the peer owes an answer.
-   * @param peer - Peer to ask.
-   */
-  requestExchange(peer: peerModule.Peer): void;
-
-  /**
-   * Sends an exchange without recording it.
-   * @param to - Receiver.
-   * @param direction - Whether an exchange is asked for in return.
-   */
-  sendExchange(to: vmIdentity.VmIdentity, direction: 'request' | 'reply'): void;
-
-  /**
-   * Sends any message to a VM.
-   * @param to - Receiver.
-   * @param message - Message to send.
-   */
-  sendMessage(to: vmIdentity.VmIdentity, message: peerMessage.PeerMessage): void;
-
-  /**
-   * Records drain notices, and passes on those that are new.
-   * @param notices - Notices that were learned.
-   * @param source - Whether an upstream of this VM or a peer gave them.
-   */
-  recordDrains(notices: readonly upstreams.DrainNotice[], source: 'own' | 'peer'): void;
-
-  /**
-   * Publishes the view if a peer has changed.
-   * @param peer - Peer that may have changed.
-   */
-  publishPeer(peer: peerModule.Peer): void;
-}
-
 /** Options of a `PeerInbox`. */
 export interface PeerInboxOptions {
   readonly context: vmContext.VmContext;
   readonly view: partialView.PartialView;
   readonly drops: dropLog.DropLog;
   readonly reach: reachRelay.ReachRelay;
-  readonly owner: PeerInboxOwner;
+  readonly owner: peerActions.PeerActions;
 }
 
 /** Receives the messages of peers for the `PeerTask`: checks them, updates the view and passes them on. */
@@ -90,25 +50,12 @@
     }
     const kind = message.type === 'exchange' ? 'exchange' : 'other';
     if (peer.recordHeard(envelope.sequence, kind, nowMs) !== 'fresh') return;
-    this.options.reach.takeReached(from).forEach((report) => this.reportReach(report));
+    this.options.reach.reportReached(from);
     this.updatePeer(peer, message);
     this.handleContent(from, message);
     this.options.owner.publishPeer(peer);
   }
 
-  /**
-   * Reports the result of a check to the peer that asked for it.
-   * @param report - Result of the check.
-   */
-  reportReach(report: reachRelay.ReachReport): void {
-    const asker = this.options.view.findPeer(report.asker);
-    if (asker === undefined) return;
-    const { name, incarnation } = report.target;
-    this.options.owner.sendMessage(asker.identity, {
-      type: 'reach-reported', target: name, incarnation, result: report.result,
-    });
-  }
-
   /**
    * Clears the ejections of a peer that is gone, so that they no longer count against the floor.
    * @param peer - Peer that was replaced or is unreachable.
@@ -184,10 +131,10 @@
         });
         break;
       case 'reach-requested':
-        this.beginCheck(from, message.target);
+        this.options.reach.beginCheck(from, message.target);
         break;
       case 'reach-reported':
-        this.applyReport(message);
+        this.options.reach.applyReport(message);
         break;
       case 'operation-forwarded':
         mailboxes.requests.post({
@@ -208,10 +155,10 @@
   }
 
   private handleExchange(from: vmIdentity.VmIdentity, message: peerMessage.PeerExchange): void {
-    const { context, owner } = this.options;
+    const { context, owner, reach } = this.options;
     if (message.drains.length > 0) owner.recordDrains(message.drains, 'peer');
     const nowMs = context.timers.getNowMs();
-    message.peers.slice(0, SAMPLE_LIMIT).forEach((identity) => this.evaluateSample(identity, nowMs));
+    message.peers.slice(0, SAMPLE_LIMIT).forEach((identity) => reach.evaluateSample(identity, nowMs));
     context.mailboxes.configuration.post({
       type: 'peer-document',
       from: from.name,
@@ -221,47 +168,4 @@
     });
     if (message.direction === 'request') owner.sendExchange(from, 'reply');
   }
-
-  // Another VM has heard the sampled peer lately, so one that is unreachable here is worth a question at once.
-  private evaluateSample(identity: vmIdentity.VmIdentity, nowMs: number): void {
-    const peer = this.options.view.addPeer({ ...identity, incarnation: '' }, nowMs);
-    if (peer?.reachability.getState() !== 'unreachable' || nowMs - peer.lastAskedMs < SAMPLE_RETRY_MS) return;
-    this.options.owner.requestExchange(peer);
-  }
-
-  private beginCheck(from: vmIdentity.VmIdentity, target: vmIdentity.VmIdentity): void {
-    const { context, view, owner } = this.options;
-    if (target.name === context.identity.name) {
-      this.reportReach({ asker: from.name, target: context.identity, result: 'reached' });
-      return;
-    }
-    const nowMs = context.timers.getNowMs();
-    const known = view.findPeer(target.name);
-    const result = known?.getRecentResult(nowMs);
-    if (known !== undefined && result !== undefined) {
-      this.reportReach({ asker: from.name, target: known.identity, result });
-      return;
-    }
-    this.options.reach.addCheck(from.name, target, nowMs);
-    if (known === undefined) {
-      owner.sendExchange(target, 'request');
-      return;
-    }
-    // Only active peers are asked again and evaluated.
-    view.addActive(known);
-    owner.requestExchange(known);
-  }
-
-  private applyReport(report: Extract<peerMessage.PeerMessage, { type: 'reach-reported' }>): void {
-    const peer = this.options.view.findPeer(report.target);
-    if (peer === undefined || (peer.isHeard() && peer.identity.incarnation !== report.incarnation)) return;
-    const nowMs = this.options.context.timers.getNowMs();
-    // Another VM gave the peer up; this VM makes its own check instead of waiting until the peer's turn comes.
-    if (report.result === 'silent' && nowMs - peer.lastHeardMs > RECENT_CONTACT_MS) {
-      this.options.view.addActive(peer);
-      if (!peer.reachability.isAwaited()) this.options.owner.requestExchange(peer);
-    }
-    peer.reachability.recordReport(report.result, nowMs);
-    this.options.owner.publishPeer(peer);
-  }
 }
--- a/packages/core/src/vms/PeerTask.ts
+++ b/packages/core/src/vms/PeerTask.ts
@@ -7,6 +7,7 @@
 import * as leavingAnnouncer from './LeavingAnnouncer.js';
 import * as partialView from './PartialView.js';
 import type * as peerModule from './Peer.js';
+import type * as peerActions from './PeerActions.js';
 import * as peerInbox from './PeerInbox.js';
 import type * as peerMessage from './PeerMessage.js';
 import * as peerSender from './PeerSender.js';
@@ -31,7 +32,7 @@
 const RELAY_FANOUT = 8;
 
 /** Owns the view of the other VMs and the exchange with them. */
-export class PeerTask extends tasks.Task<peerTaskMessage.PeerTaskMessage> implements peerInbox.PeerInboxOwner {
+export class PeerTask extends tasks.Task<peerTaskMessage.PeerTaskMessage> implements peerActions.PeerActions {
   private readonly view: partialView.PartialView;
 
   private readonly sender: peerSender.PeerSender;
@@ -42,7 +43,7 @@
 
   private readonly drains: drainBoard.DrainBoard;
 
-  private readonly reach = new reachRelay.ReachRelay();
+  private readonly reach: reachRelay.ReachRelay;
 
   private readonly schedule: exchangeSchedule.ExchangeSchedule;
 
@@ -84,6 +85,7 @@
     this.schedule = new exchangeSchedule.ExchangeSchedule(random);
     this.publisher = new viewPublisher.ViewPublisher(context);
     this.role = new platformRole.PlatformRole(identity);
+    this.reach = new reachRelay.ReachRelay({ context, view: this.view, owner: this });
     this.inbox = new peerInbox.PeerInbox({
       context, view: this.view, drops: this.drops, reach: this.reach, owner: this,
     });
@@ -219,8 +221,7 @@
     this.view.listActive().filter((peer) => peer.reachability.getState() === 'unreachable').forEach((peer) => this.inbox.clearEjections(peer));
     this.view.listPeers().forEach((peer) => this.probeChallenger(peer, nowMs));
     this.requestExchanges(nowMs);
-    this.reach.takeSilent(nowMs).forEach((report) => this.inbox.reportReach(report));
-    this.reach.listTargets().forEach((target) => this.sendExchange(target, 'request'));
+    this.reach.expireChecks(nowMs);
     if (this.state === 'leaving') this.sender.sendToAll(this.announcer.takeNext(this.view.listPeers()), { type: 'leaving' });
     this.publishView();
     if (this.mode === undefined) this.updateMode();
--- /dev/null
+++ b/packages/core/src/vms/PendingChecks.ts
@@ -0,0 +1,59 @@
+import type * as vmIdentity from './VmIdentity.js';
+
+const REPORT_AFTER_MS = 2_500;
+const PENDING_LIMIT = 32;
+
+interface PendingCheck {
+  readonly asker: string;
+  readonly target: vmIdentity.VmIdentity;
+  readonly dueMs: number;
+}
+
+/** Answer to a peer that cannot reach a third VM. */
+export interface ReachReport {
+  readonly asker: string;
+  readonly target: vmIdentity.VmIdentity;
+  readonly result: 'reached' | 'silent';
+}
+
+/** Checks that other peers asked this VM to make, until the third VM answers or the time has passed. */
+export class PendingChecks {
+  private pending: PendingCheck[] = [];
+
+  /**
+   * Adds a check. Checks above the limit are ignored; the asker asks again.
+   * @param asker - Name of the peer that asked.
+   * @param target - VM to reach.
+   * @param nowMs - Present time in milliseconds.
+   */
+  addCheck(asker: string, target: vmIdentity.VmIdentity, nowMs: number): void {
+    if (this.pending.length < PENDING_LIMIT) this.pending.push({ asker, target, dueMs: nowMs + REPORT_AFTER_MS });
+  }
+
+  /**
+   * Takes the checks that a message of a VM settles.
+   * @param identity - VM that was heard.
+   */
+  takeReached(identity: vmIdentity.VmIdentity): ReachReport[] {
+    if (this.pending.length === 0) return [];
+    const settled = this.pending.filter((check) => check.target.name === identity.name);
+    this.pending = this.pending.filter((check) => check.target.name !== identity.name);
+    return settled.map((check) => ({ asker: check.asker, target: identity, result: 'reached' }));
+  }
+
+  /** Lists the VMs that are still to be reached. They are asked again with each tick, since one message may be lost. */
+  listTargets(): vmIdentity.VmIdentity[] {
+    return [...new Map(this.pending.map((check) => [check.target.name, check.target])).values()];
+  }
+
+  /**
+   * Takes the checks whose time has passed.
+   * @param nowMs - Present time in milliseconds.
+   */
+  takeSilent(nowMs: number): ReachReport[] {
+    if (this.pending.length === 0) return [];
+    const silent = this.pending.filter((check) => check.dueMs <= nowMs);
+    this.pending = this.pending.filter((check) => check.dueMs > nowMs);
+    return silent.map((check) => ({ asker: check.asker, target: check.target, result: 'silent' }));
+  }
+}
--- a/packages/core/src/vms/ReachRelay.ts
+++ b/packages/core/src/vms/ReachRelay.ts
@@ -1,59 +1,108 @@
+import type * as partialView from './PartialView.js';
+import type * as peerActions from './PeerActions.js';
+import type * as peerMessage from './PeerMessage.js';
+import * as pendingChecks from './PendingChecks.js';
+import type * as vmContext from './VmContext.js';
 import type * as vmIdentity from './VmIdentity.js';
 
-const REPORT_AFTER_MS = 2_500;
-const PENDING_LIMIT = 32;
+const SAMPLE_RETRY_MS = 5_000;
 
-interface PendingCheck {
-  readonly asker: string;
-  readonly target: vmIdentity.VmIdentity;
-  readonly dueMs: number;
-}
+const RECENT_CONTACT_MS = 2_000;
 
-/** Answer to a peer that cannot reach a third VM. */
-export interface ReachReport {
-  readonly asker: string;
-  readonly target: vmIdentity.VmIdentity;
-  readonly result: 'reached' | 'silent';
+/** Options of a `ReachRelay`. */
+export interface ReachRelayOptions {
+  readonly context: vmContext.VmContext;
+  readonly view: partialView.PartialView;
+  readonly owner: peerActions.PeerActions;
 }
 
-/** Checks that other peers asked this VM to make, until the third VM answers or the time has passed. */
+/** Tries VMs that other peers cannot reach, reports the results, and uses what other peers report. */
 export class ReachRelay {
-  private pending: PendingCheck[] = [];
+  private readonly checks = new pendingChecks.PendingChecks();
+
+  /** @param options - Parts of the `PeerTask`. */
+  constructor(private readonly options: ReachRelayOptions) {}
 
   /**
-   * Adds a check. Checks above the limit are ignored; the asker asks again.
-   * @param asker - Name of the peer that asked.
-   * @param target - VM to reach.
-   * @param nowMs - Present time in milliseconds.
+   * Begins a check that a peer asked for.
+   * @param from - Peer that asked.
+   * @param target - VM to try.
    */
-  addCheck(asker: string, target: vmIdentity.VmIdentity, nowMs: number): void {
-    if (this.pending.length < PENDING_LIMIT) this.pending.push({ asker, target, dueMs: nowMs + REPORT_AFTER_MS });
+  beginCheck(from: vmIdentity.VmIdentity, target: vmIdentity.VmIdentity): void {
+    const { context, view, owner } = this.options;
+    if (target.name === context.identity.name) {
+      this.sendReport({ asker: from.name, target: context.identity, result: 'reached' });
+      return;
+    }
+    const nowMs = context.timers.getNowMs();
+    const known = view.findPeer(target.name);
+    const result = known?.getRecentResult(nowMs);
+    if (known !== undefined && result !== undefined) {
+      this.sendReport({ asker: from.name, target: known.identity, result });
+      return;
+    }
+    this.checks.addCheck(from.name, target, nowMs);
+    if (known === undefined) {
+      owner.sendExchange(target, 'request');
+      return;
+    }
+    // Only active peers are asked again and evaluated.
+    view.addActive(known);
+    owner.requestExchange(known);
   }
 
   /**
-   * Takes the checks that a message of a VM settles.
+   * Reports the checks that a message of a VM settles.
    * @param identity - VM that was heard.
    */
-  takeReached(identity: vmIdentity.VmIdentity): ReachReport[] {
-    if (this.pending.length === 0) return [];
-    const settled = this.pending.filter((check) => check.target.name === identity.name);
-    this.pending = this.pending.filter((check) => check.target.name !== identity.name);
-    return settled.map((check) => ({ asker: check.asker, target: identity, result: 'reached' }));
+  reportReached(identity: vmIdentity.VmIdentity): void {
+    this.checks.takeReached(identity).forEach((report) => this.sendReport(report));
+  }
+
+  /**
+   * Reports the checks whose time has passed and tries the other ones again. Called once per tick.
+   * @param nowMs - Present time in milliseconds.
+   */
+  expireChecks(nowMs: number): void {
+    this.checks.takeSilent(nowMs).forEach((report) => this.sendReport(report));
+    this.checks.listTargets().forEach((target) => this.options.owner.sendExchange(target, 'request'));
   }
 
-  /** Lists the VMs that are still to be reached. They are asked again with each tick, since one message may be lost. */
-  listTargets(): vmIdentity.VmIdentity[] {
-    return [...new Map(this.pending.map((check) => [check.target.name, check.target])).values()];
+  /**
+   * Uses the report of a peer about a third VM.
+   * @param report - Report of the peer.
+   */
+  applyReport(report: Extract<peerMessage.PeerMessage, { type: 'reach-reported' }>): void {
+    const { context, view, owner } = this.options;
+    const peer = view.findPeer(report.target);
+    if (peer === undefined || (peer.isHeard() && peer.identity.incarnation !== report.incarnation)) return;
+    const nowMs = context.timers.getNowMs();
+    // Another VM gave the peer up; this VM makes its own check instead of waiting until the peer's turn comes.
+    if (report.result === 'silent' && nowMs - peer.lastHeardMs > RECENT_CONTACT_MS) {
+      view.addActive(peer);
+      if (!peer.reachability.isAwaited()) owner.requestExchange(peer);
+    }
+    peer.reachability.recordReport(report.result, nowMs);
+    owner.publishPeer(peer);
   }
 
   /**
-   * Takes the checks whose time has passed.
+   * Uses the sample of an exchange. Another VM has heard the peer lately, so one that is unreachable here is asked at once.
+   * @param identity - Peer in the sample.
    * @param nowMs - Present time in milliseconds.
    */
-  takeSilent(nowMs: number): ReachReport[] {
-    if (this.pending.length === 0) return [];
-    const silent = this.pending.filter((check) => check.dueMs <= nowMs);
-    this.pending = this.pending.filter((check) => check.dueMs > nowMs);
-    return silent.map((check) => ({ asker: check.asker, target: check.target, result: 'silent' }));
+  evaluateSample(identity: vmIdentity.VmIdentity, nowMs: number): void {
+    const peer = this.options.view.addPeer({ ...identity, incarnation: '' }, nowMs);
+    if (peer?.reachability.getState() !== 'unreachable' || nowMs - peer.lastAskedMs < SAMPLE_RETRY_MS) return;
+    this.options.owner.requestExchange(peer);
+  }
+
+  private sendReport(report: pendingChecks.ReachReport): void {
+    const asker = this.options.view.findPeer(report.asker);
+    if (asker === undefined) return;
+    const { name, incarnation } = report.target;
+    this.options.owner.sendMessage(asker.identity, {
+      type: 'reach-reported', target: name, incarnation, result: report.result,
+    });
   }
 }
