--- a/packages/core/src/vms/Peer.ts
+++ b/packages/core/src/vms/Peer.ts
@@ -10,6 +10,9 @@
 // A VM usually starts within seconds, and the news that it serves may get lost on its way to a peer that is not active.
 const STARTING_KEEP_MS = 15_000;
 
+// After the loss of a place, every VM asks others about the same peers; what was found just now need not be tried again.
+const RECENT_RESULT_MS = 2_000;
+
 /** What this VM knows about one other VM. */
 export class Peer {
   /** State in the platform's list, or how else the peer became known. */
@@ -18,6 +21,9 @@
   /** State that the peer named last. */
   reported: 'starting' | 'serving' | 'leaving' | undefined;
 
+  // Time of the last exchange, which is what names the state.
+  private reportedMs = -Infinity;
+
   lastHeardMs = -Infinity;
 
   lastAskedMs = -Infinity;
@@ -71,6 +77,16 @@
     return result;
   }
 
+  /**
+   * Records the state that the peer named.
+   * @param state - State of the peer. Leaving is final for an incarnation; an earlier exchange may arrive later.
+   * @param nowMs - Present time in milliseconds.
+   */
+  recordState(state: 'starting' | 'serving' | 'leaving', nowMs: number): void {
+    if (this.reported !== 'leaving') this.reported = state;
+    this.reportedMs = nowMs;
+  }
+
   /**
    * Records that an exchange is sent to the peer.
    * @param nowMs - Present time in milliseconds.
@@ -80,6 +96,15 @@
     this.reachability.recordAsked(nowMs);
   }
 
+  /**
+   * Gets the result of a check that another VM asks for, if this VM has made one lately.
+   * @param nowMs - Present time in milliseconds.
+   */
+  getRecentResult(nowMs: number): 'reached' | 'silent' | undefined {
+    if (nowMs - this.lastHeardMs < RECENT_RESULT_MS) return 'reached';
+    return this.reachability.getState() === 'unreachable' && !this.reachability.isDue(nowMs) ? 'silent' : undefined;
+  }
+
   /**
    * Makes another incarnation the present one.
    * @param identity - Identity of the incarnation.
@@ -99,6 +124,6 @@
     if (this.listing === 'leaving' && nowMs - this.lastHeardMs > HEARD_BEFORE_LIST_MS) return 'leaving';
     const reachable = this.reachability.getState();
     if (reachable !== 'reachable') return reachable;
-    return this.reported === 'starting' && nowMs - this.lastHeardMs < STARTING_KEEP_MS ? 'starting' : 'reachable';
+    return this.reported === 'starting' && nowMs - this.reportedMs < STARTING_KEEP_MS ? 'starting' : 'reachable';
   }
 }
