--- a/packages/caller/src/callers/OutcomeReader.ts
+++ b/packages/caller/src/callers/OutcomeReader.ts
@@ -2,7 +2,8 @@
 import type * as callerRequest from './CallerRequest.js';
 
 /** Outcome of one try at one VM. */
-export type TryOutcome = | { readonly type: 'answered'; readonly answer: callerRequest.CallerAnswer }
+export type TryOutcome =
+  | { readonly type: 'answered'; readonly answer: callerRequest.CallerAnswer }
   /** `retryAfterMs` is undefined if another try has no prospect. */
   | { readonly type: 'not-run'; readonly reason: string; readonly retryAfterMs: number | undefined; readonly operationPrefix: string | undefined }
   | { readonly type: 'unknown'; readonly reason: string }
--- a/packages/core/src/callers/RequestMessage.ts
+++ b/packages/core/src/callers/RequestMessage.ts
@@ -14,7 +14,8 @@
 }
 
 /** Message to the `RequestTask`. */
-export type RequestMessage = | { readonly type: 'caller-request'; readonly requestId: string; readonly request: callerRequest.CallerRequest }
+export type RequestMessage =
+  | { readonly type: 'caller-request'; readonly requestId: string; readonly request: callerRequest.CallerRequest }
   | { readonly type: 'caller-gone'; readonly requestId: string }
   /** A peer handed over an operation whose home this VM is. */
   | { readonly type: 'forwarded'; readonly from: string; readonly forwardId: string; readonly request: callerRequest.CallerRequest }
@@ -23,6 +24,8 @@
   | { readonly type: 'forward-ended'; readonly from: string; readonly forwardId: string; readonly outcome: contracts.Outcome }
   /** The transport could not reach a peer. */
   | { readonly type: 'peer-unreached'; readonly to: string }
+  /** The home VM of a forwarded operation is not known to the `PeerTask`, which dropped the message. */
+  | { readonly type: 'peer-unknown'; readonly to: string }
   | { readonly type: 'attempt-ended'; readonly attemptId: string; readonly result: upstreams.AttemptResult }
   | { readonly type: 'attempt-overflowed'; readonly attemptId: string; readonly echo: 'matched' | 'mismatched' | 'absent' }
   | upstreams.AcquireReply
@@ -33,5 +36,4 @@
   | { readonly type: 'hedge-due'; readonly requestId: string }
   | { readonly type: 'status-requested'; readonly replyTo: tasks.Mailbox<RequestStatus> }
   /** The VM stops. `requests-ended` is sent to the mailbox when no request is left. */
-  | { readonly type: 'stop'; readonly replyTo: tasks.Mailbox<{ readonly type: 'requests-ended' }> }
-  | { readonly type: 'tick' };
+  | { readonly type: 'stop'; readonly replyTo: tasks.Mailbox<{ readonly type: 'requests-ended' }> };
--- a/packages/core/src/links/index.ts
+++ b/packages/core/src/links/index.ts
@@ -1,2 +1,5 @@
+export * from './LinkSuspicion.js';
 export type * from './LocalHealthMessage.js';
 export * from './LocalHealthTask.js';
+export * from './ReachabilityCheck.js';
+export * from './SequenceWindow.js';
--- a/packages/entry/src/links/PeerServer.ts
+++ b/packages/entry/src/links/PeerServer.ts
@@ -15,7 +15,8 @@
 const IDLE_TIMEOUT_MS = 30_000;
 
 /** Message to the `PeerServer`. */
-export type PeerServerMessage = | { readonly type: 'delivered'; readonly values: readonly unknown[] }
+export type PeerServerMessage =
+  | { readonly type: 'delivered'; readonly values: readonly unknown[] }
   | { readonly type: 'unreadable'; readonly detail: string };
 
 /** Options of a `PeerServer`. */
--- a/packages/entry/src/platform/PlatformReader.ts
+++ b/packages/entry/src/platform/PlatformReader.ts
@@ -15,7 +15,8 @@
 export type PlatformMode = 'watch' | 'poll';
 
 /** Message to a `PlatformReader`. */
-export type PlatformReaderMessage<Content> = | { readonly type: 'read-due' }
+export type PlatformReaderMessage<Content> =
+  | { readonly type: 'read-due' }
   | { readonly type: 'mode'; readonly mode: PlatformMode }
   | {
     readonly type: 'read-ended';
--- a/packages/entry/src/upstreams/UpstreamConnections.ts
+++ b/packages/entry/src/upstreams/UpstreamConnections.ts
@@ -165,10 +165,10 @@
   }
 
   private static buildRequest(attempt: Attempt): undici.Dispatcher.DispatchOptions {
-    const { request, attemptId, timeoutMs } = attempt;
+    const { request, attemptId, deadlineMs } = attempt;
     const own: (readonly [string, string])[] = [
       ['tamarack-request-id', attemptId],
-      ['tamarack-deadline-ms', String(Math.max(0, Math.floor(timeoutMs)))],
+      ['tamarack-deadline-ms', String(Math.max(0, Math.floor(deadlineMs)))],
     ];
     if (request.operationId !== undefined) own.push(['tamarack-operation-id', request.operationId]);
     return {
