Keep header values of upstreams and peers from ending the process

Cause: undici decodes header values as UTF-8, and Node.js throws ERR_INVALID_CHAR when such a text is written; a status below 100 throws as well. Either would have ended the process.

Change: answer headers are read byte by byte, those that Node.js cannot write are left out, and peer messages with other statuses or reasons are dropped. Settings with an unspecified host need advertised_host.

Conclusion: what an upstream or a peer sends in headers is not fatal.

--- a/packages/entry/src/links/HeaderFilter.ts
+++ b/packages/entry/src/links/HeaderFilter.ts
@@ -4,6 +4,11 @@
   'host', 'content-length', 'expect',
 ]);
 
+/** Header names that Node.js writes. */
+export const NAME_PATTERN = /^[\^_`a-z\-0-9!#$%&'*+.|~]+$/;
+/** Header values that Node.js writes, one character for each byte. */
+export const VALUE_PATTERN = /^[\t\x20-\x7e\x80-\xff]*$/;
+
 /** Decides which headers pass from one hop to the next. */
 export class HeaderFilter {
   /**
@@ -18,7 +23,7 @@
    * Lists the answer headers that go on to the caller.
    * @param fields - Header fields of the answer by lower-case name.
    */
-  static listAnswerHeaders(fields: ReadonlyMap<string, string | readonly string[]>): readonly (readonly [string, string])[] {
+  static listAnswerHeaders(fields: ReadonlyMap<string, readonly string[]>): readonly (readonly [string, string])[] {
     return HeaderFilter.listHeaders([...fields]);
   }
 
@@ -29,6 +34,8 @@
     const listed = new Set(String(named).toLowerCase().split(',').map((name) => name.trim()));
     return entries
       .filter(([name]) => !HOP_HEADERS.has(name) && !listed.has(name) && !name.startsWith('tamarack-'))
-      .flatMap(([name, value]) => (typeof value === 'string' ? [value] : value ?? []).map((single) => [name, single] as const));
+      .flatMap(([name, value]) => (typeof value === 'string' ? [value] : value ?? []).map((single) => [name, single] as const))
+      // Node.js throws when a header with other characters is written.
+      .filter(([name, value]) => NAME_PATTERN.test(name) && VALUE_PATTERN.test(value));
   }
 }
--- a/packages/entry/src/links/PeerSchema.ts
+++ b/packages/entry/src/links/PeerSchema.ts
@@ -1,5 +1,7 @@
 import * as zod from 'zod';
 
+import * as headerFilter from './HeaderFilter.js';
+
 // Bounds on what a peer may send, far above what a VM sends.
 const MAX_ITEMS = 10_000;
 const MAX_DOCUMENT_CHARACTERS = 2 * 1024 * 1024;
@@ -7,7 +9,11 @@
 const COUNT = zod.number().min(0);
 
 const BYTES = zod.base64().transform((text): Uint8Array => Buffer.from(text, 'base64'));
-const HEADERS = zod.array(zod.tuple([zod.string(), zod.string()])).max(MAX_ITEMS);
+const HEADER = zod.tuple([zod.string().regex(headerFilter.NAME_PATTERN), zod.string().regex(headerFilter.VALUE_PATTERN)]);
+const HEADERS = zod.array(HEADER).max(MAX_ITEMS);
+// Reasons and prefixes become header values of an answer.
+const REASON = zod.string().regex(/^[a-z-]{1,64}$/);
+const PREFIX = zod.string().regex(/^[\x21-\x7e]{1,255}$/);
 
 const IDENTITY = zod.object({
   name: NAME, incarnation: NAME, host: NAME, port: zod.int().min(0).max(65_535), peerPort: zod.int().min(0).max(65_535), place: NAME,
@@ -29,11 +35,11 @@
 });
 
 const OUTCOME = zod.discriminatedUnion('type', [
-  zod.object({ type: zod.literal('answered'), answer: zod.object({ status: zod.int(), headers: HEADERS, body: BYTES }) }),
+  zod.object({ type: zod.literal('answered'), answer: zod.object({ status: zod.int().min(200).max(999), headers: HEADERS, body: BYTES }) }),
   zod.object({
-    type: zod.literal('not-run'), reason: NAME, retryAfterMs: COUNT, operationPrefix: NAME.optional(),
+    type: zod.literal('not-run'), reason: REASON, retryAfterMs: COUNT, operationPrefix: PREFIX.optional(),
   }),
-  zod.object({ type: zod.literal('unknown'), reason: NAME }),
+  zod.object({ type: zod.literal('unknown'), reason: REASON }),
 ]);
 
 const MESSAGE = zod.discriminatedUnion('type', [
--- a/packages/entry/src/upstreams/AnswerReader.ts
+++ b/packages/entry/src/upstreams/AnswerReader.ts
@@ -28,7 +28,7 @@
 export class AnswerReader {
   private status = 0;
 
-  private readonly fields = new Map<string, string | readonly string[]>();
+  private readonly fields = new Map<string, readonly string[]>();
 
   private chunks: Buffer[] = [];
 
@@ -44,12 +44,14 @@
   /**
    * Takes the head of the answer.
    * @param status - Status code.
-   * @param fields - Header fields by lower-case name.
+   * @param rawFields - Names and values of the header fields in turn.
    */
-  readHead(status: number, fields: Readonly<Record<string, string | string[] | undefined>>): void {
+  readHead(status: number, rawFields: readonly Buffer[]): void {
     this.status = status;
-    Object.entries(fields).forEach(([name, value]) => {
-      if (value !== undefined) this.fields.set(name.toLowerCase(), value);
+    // One character for each byte: HTTP does not define the encoding of values, and Node.js writes them in the same way.
+    const texts = rawFields.map((part) => part.toString('latin1'));
+    texts.forEach((text, index) => {
+      if (index % 2 === 0) this.addField(text.toLowerCase(), texts[index + 1] ?? '');
     });
   }
 
@@ -108,8 +110,11 @@
   }
 
   private getField(name: string): string | undefined {
-    const value = this.fields.get(name);
-    return typeof value === 'string' ? value : value?.[0];
+    return this.fields.get(name)?.[0];
+  }
+
+  private addField(name: string, value: string): void {
+    this.fields.set(name, [...this.fields.get(name) ?? [], value]);
   }
 
   // An answer that ends with its connection cannot be told from one that broke off, unless its digest shows it.
--- a/packages/entry/src/upstreams/Exchange.ts
+++ b/packages/entry/src/upstreams/Exchange.ts
@@ -61,8 +61,8 @@
     });
     this.connection.dispatch(options.request, {
       onRequestStart: (controller) => this.handleStart(controller),
-      onResponseStart: (_, status, fields) => {
-        if (status >= 200) this.reader.readHead(status, fields);
+      onResponseStart: (controller, status) => {
+        if (status >= 200) this.reader.readHead(status, (controller.rawHeaders ?? []) as Buffer[]);
       },
       onResponseData: (_, chunk) => {
         if (this.state === 'open') this.handleData(chunk);
--- a/packages/entry/src/vms/SettingsSchema.ts
+++ b/packages/entry/src/vms/SettingsSchema.ts
@@ -22,6 +22,7 @@
   }
 }
 
+const UNSPECIFIED_ADDRESSES = ['0.0.0.0', '::'];
 const PORT = buildNumber(1, 65_535);
 const BOUND_PORT = buildNumber(0, 65_535);
 
@@ -53,6 +54,8 @@
   limits: LIMITS.optional(),
   metrics: zod.strictObject({ host: zod.string('a host').min(1, 'a host'), port: PORT }, 'a table').optional(),
   seed_peers: zod.array(SEED_PEER, 'an array of tables').default([]),
+}).refine((fields) => fields.advertised_host !== undefined || !UNSPECIFIED_ADDRESSES.includes(fields.host), {
+  path: ['advertised_host'], error: 'an IP address, since callers cannot connect to the one of host',
 });
 
 /** Fields of the settings as they stand in the TOML file. */
--- a/packages/entry/test/links/PeerConnections.test.ts
+++ b/packages/entry/test/links/PeerConnections.test.ts
@@ -66,6 +66,9 @@
 
   vitest.it.each([
     ['text', 'hello'], ['another shape', '{"a":1}'], ['no message', '[{"format":1}]'], ['wrong bytes', JSON.stringify([buildEnvelope(1, { type: 'document', text: 5 as unknown as string })])],
+    ['a reason that is no header value', JSON.stringify([{
+      format: 1, from: FROM, sequence: 1, message: { type: 'operation-ended', forwardId: 'f', outcome: { type: 'unknown', reason: 'a\r\nb: c' } },
+    }])],
   ])('reports %s and goes on (guards against a fatal message)', async (_, body) => {
     await fetch(`http://127.0.0.1:${to.peerPort}/deliver`, { method: 'POST', headers: { 'content-type': 'application/json' }, body });
     await received.waitFor('peer-invalid');
--- a/packages/entry/test/upstreams/UpstreamConnections.test.ts
+++ b/packages/entry/test/upstreams/UpstreamConnections.test.ts
@@ -138,6 +138,13 @@
     raw.close();
   });
 
+  vitest.it('passes header values byte by byte (guards against a name in a header that ends the process)', async () => {
+    const raw = await startRawUpstream('HTTP/1.1 200 OK\r\ncontent-length: 0\r\nx-name: \u0161\r\nset-cookie: a\r\nset-cookie: b\r\ntamarack-outcome: x\r\n\r\n', 'keep');
+    const result = await waitForResult(sendAttempt({ instancePort: raw.port, contract: { answerDigest: 'absent' } }));
+    vitest.expect(result).toMatchObject({ answer: { headers: [['x-name', '\u00c5\u00a1'], ['set-cookie', 'a'], ['set-cookie', 'b']] } });
+    raw.close();
+  });
+
   vitest.it('reuses connections with whole answers only (guards against a late answer that meets the next request)', async () => {
     const whole = await startRawUpstream('HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok', 'keep');
     const contract = { answerDigest: 'absent', requestIdEcho: 'absent' } as const;
