--- a/packages/entry/src/links/PeerServer.ts
+++ b/packages/entry/src/links/PeerServer.ts
@@ -15,7 +15,8 @@
 const IDLE_TIMEOUT_MS = 30_000;
 
 /** Message to the `PeerServer`. */
-export type PeerServerMessage = | { readonly type: 'delivered'; readonly values: readonly unknown[] }
+export type PeerServerMessage =
+  | { readonly type: 'delivered'; readonly values: readonly unknown[] }
   | { readonly type: 'unreadable'; readonly detail: string };
 
 /** Options of a `PeerServer`. */
@@ -40,7 +41,12 @@
     });
     this.server = http.createServer({
       headersTimeout: HEADER_TIMEOUT_MS, requestTimeout: REQUEST_TIMEOUT_MS, keepAliveTimeout: IDLE_TIMEOUT_MS,
-    }, handler);
+    }, (request, response) => {
+      // Peers use neither the date nor the idle time; leaving them out keeps control traffic small.
+      response.sendDate = false;
+      response.setHeader('connection', 'keep-alive');
+      handler(request, response);
+    });
     this.server.on('clientError', (error, socket) => {
       this.post({ type: 'unreadable', detail: error.message });
       socket.destroy();
