--- a/packages/proof/src/callers/CallerSurroundings.ts
+++ b/packages/proof/src/callers/CallerSurroundings.ts
@@ -4,6 +4,8 @@
 /** Where a request is sent to. */
 export interface SendingTarget {
   readonly vm: string;
+  /** When the caller got the address answer that named the VM, in milliseconds. */
+  readonly receivedAtMs: number;
   /** Until when the address answer that named the VM may be used, in milliseconds. */
   readonly validUntilMs: number;
   /** Further VMs to try if the connection cannot be opened. */
--- a/packages/proof/src/callers/ScriptedCaller.ts
+++ b/packages/proof/src/callers/ScriptedCaller.ts
@@ -28,7 +28,7 @@
    */
   beginAt(home: string, vm: string): void {
     if (this.record.options.kind.repeatability === 'idempotent' || this.record.operationId !== undefined) {
-      this.sendTo(vm);
+      this.sendAt(vm);
       return;
     }
     this.waiting = [...this.waiting, vm];
@@ -39,9 +39,13 @@
    * Sends the request to a VM, once its operation id is known.
    * @param vm - VM that the request is sent to.
    */
-  sendTo(vm: string): void {
+  sendAt(vm: string): void {
     if (this.waiting.length > 0) this.waiting = [...this.waiting, vm];
-    else this.way.send(this, this.record, { vm, validUntilMs: Infinity, tries: 0 });
+    else {
+      this.way.send(this, this.record, {
+        vm, receivedAtMs: 0, validUntilMs: 0, tries: 0,
+      });
+    }
   }
 
   override updateAddresses(_service: string, answer: core.vms.AddressAnswer): void {
@@ -49,7 +53,7 @@
     this.record.setOperationId(`${answer.operationPrefix}.${this.record.token}`);
     const { waiting } = this;
     this.waiting = [];
-    waiting.forEach((vm) => this.sendTo(vm));
+    waiting.forEach((vm) => this.sendAt(vm));
   }
 
   override retryConnection(): void {}
--- a/packages/proof/src/callers/Sending.ts
+++ b/packages/proof/src/callers/Sending.ts
@@ -7,6 +7,8 @@
   readonly caller: fakeCaller.FakeCaller;
   readonly record: callRecord.CallRecord;
   readonly vm: string;
+  /** When the caller got the address answer that named the VM, in milliseconds. */
+  readonly receivedAtMs: number;
   /** Until when the address answer that named the VM may be used, in milliseconds. */
   readonly validUntilMs: number;
 }
--- a/packages/proof/src/replay/VersionLog.ts
+++ b/packages/proof/src/replay/VersionLog.ts
@@ -1,10 +1,12 @@
 import type * as vms from '../vms/index.js';
 import type * as worlds from '../worlds/index.js';
 
-/** Keeps when each VM first had each version of the document. */
+/** Keeps when each VM first had each version of the document, and since when it runs. */
 export class VersionLog {
   private readonly reachedAtMs = new Map<string, number>();
 
+  private readonly runningSinceMs = new Map<vms.FakeMachine, number>();
+
   /** @param view - Truth about the world. */
   constructor(private readonly view: worlds.WorldView) {}
 
@@ -13,11 +15,22 @@
    * @param event - Event of the world.
    */
   handle(event: worlds.WorldEvent): void {
+    if (event.type === 'machine-changed' && (event.change === 'started' || event.change === 'thawed')) {
+      this.runningSinceMs.set(event.machine, this.view.getNowMs());
+    }
     if (event.type !== 'document-accepted') return;
     const key = `${event.machine.endpoint.name}/${event.machine.run}/${event.reference.version}`;
     if (!this.reachedAtMs.has(key)) this.reachedAtMs.set(key, this.view.getNowMs());
   }
 
+  /**
+   * Gets since when a VM has run without a pause, in milliseconds.
+   * @param machine - Machine of the VM.
+   */
+  getRunningSinceMs(machine: vms.FakeMachine): number {
+    return this.runningSinceMs.get(machine) ?? 0;
+  }
+
   /**
    * Gets when the running process of a VM had a version or a later one, in milliseconds.
    * @param machine - Machine of the VM.
--- a/packages/proof/src/vms/FakeMachine.ts
+++ b/packages/proof/src/vms/FakeMachine.ts
@@ -12,6 +12,8 @@
   readonly seed: number;
   readonly queue: worlds.EventQueue;
   readonly codec: core.contracts.DocumentCodec;
+  /** Peers from the settings of the process. */
+  readonly seedPeers: () => readonly core.vms.EntryVmListEntry[];
   readonly rules: Partial<core.vms.VmRules> | undefined;
   /** Receives the outputs of the running process. */
   readonly outbox: (machine: FakeMachine, output: core.vms.VmOutput) => void;
@@ -78,6 +80,7 @@
           if (runs === this.runs && this.state !== 'dead') this.options.outbox(this, output);
         },
       },
+      seedPeers: this.options.seedPeers(),
       ...(this.options.rules === undefined ? {} : { rules: this.options.rules }),
     });
     this.scheduleWake();
--- a/packages/proof/src/worlds/ActionInjector.ts
+++ b/packages/proof/src/worlds/ActionInjector.ts
@@ -46,7 +46,7 @@
         this.beginRequest(action);
         break;
       case 'repeat':
-        this.scripted.get(action.name)?.sendTo(action.via);
+        this.scripted.get(action.name)?.sendAt(action.via);
         break;
       case 'cancel': {
         const caller = this.scripted.get(action.name);
@@ -54,7 +54,7 @@
         break;
       }
       case 'load':
-        world.callers.scaleLoad(action.factor);
+        world.loads.scaleLoad(action.factor);
         break;
       case 'kill':
       case 'restart':
--- a/packages/proof/src/worlds/WorldEvent.ts
+++ b/packages/proof/src/worlds/WorldEvent.ts
@@ -4,6 +4,13 @@
 import type * as upstreams from '../upstreams/index.js';
 import type * as vms from '../vms/index.js';
 
+/** Address answer that a caller used. */
+export interface AddressUse {
+  readonly state: 'valid' | 'expired';
+  /** When the caller got it, in milliseconds. */
+  readonly receivedAtMs: number;
+}
+
 /** What happened in a world, told to the checks and meters. */
 export type WorldEvent = | { readonly type: 'request-begun'; readonly record: callers.CallRecord }
   | {
@@ -26,11 +33,11 @@
     readonly machine: vms.FakeMachine;
     readonly record: callers.CallRecord;
     readonly outcome: core.contracts.Outcome;
-    readonly address: 'valid' | 'expired';
+    readonly address: AddressUse;
   }
   /** A caller's view of its request changed; `unknown` may change again after a repeat. */
   | { readonly type: 'request-ended'; readonly record: callers.CallRecord; readonly previous: callers.CallState }
-  | { readonly type: 'connection-refused'; readonly machine: vms.FakeMachine; readonly address: 'valid' | 'expired' }
+  | { readonly type: 'connection-refused'; readonly machine: vms.FakeMachine; readonly address: AddressUse }
   | { readonly type: 'document-accepted'; readonly machine: vms.FakeMachine; readonly reference: core.contracts.DocumentReference }
   | { readonly type: 'status'; readonly machine: vms.FakeMachine; readonly status: core.vms.VmStatus }
   | {
