--- a/packages/core/src/callers/RequestMessage.ts
+++ b/packages/core/src/callers/RequestMessage.ts
@@ -33,6 +33,7 @@
   | contracts.LedgerReply
   | contracts.DocumentAccepted
   | { readonly type: 'deadline'; readonly requestId: string }
+  /** A second attempt is due, or the second copy of a forward. */
   | { readonly type: 'hedge-due'; readonly requestId: string }
   | { readonly type: 'status-requested'; readonly replyTo: tasks.Mailbox<RequestStatus> }
   /** The VM stops. `requests-ended` is sent to the mailbox when no request is left. */
--- a/packages/core/test/upstreams/PoolSimulation.ts
+++ b/packages/core/test/upstreams/PoolSimulation.ts
@@ -182,6 +182,7 @@
         callers: new core.callers.CallerRules(),
         contracts: new core.contracts.ContractRules(),
         upstreams: this.options.rules ?? buildRules({}),
+        peers: new core.vms.PeerRules(),
       },
       seedPeers: [],
       addressValidityMs: 1_000,
--- a/packages/entry/src/upstreams/Exchange.ts
+++ b/packages/entry/src/upstreams/Exchange.ts
@@ -115,16 +115,11 @@
   }
 
   private handleStart(controller: undici.Dispatcher.DispatchController): void {
-    // An exchange that ended as refused was reported as not sent, so nothing of it may be written now.
-    if (this.state === 'ended') {
-      controller.abort(new undici.errors.RequestAbortedError());
-      return;
-    }
-    if (this.controller === undefined) {
+    if (this.controller === undefined && this.state === 'open') {
       this.controller = controller;
       return;
     }
-    // undici sends a request again on some connection errors, which would run an operation twice.
+    // After a `refused` nothing may be written, and a repetition by undici after a connection error could run an operation twice.
     controller.abort(new undici.errors.RequestAbortedError());
     this.end('reset');
   }
