Let steered and returning instances prove themselves before they get work

Cause: steering and ejection take away the attempts that showed the fault, so weights rose again after a few seconds and errors of 10 to 20% had to be detected anew.

Change: weights fall at once and rise slowly, evidence is kept for a whole trial, the score of a returning instance grows with its ejections, peers contradict only with 14 good attempts, and steered instances stay subject to evidence requests. Ejections by peers alone start no probes.

--- a/packages/core/src/upstreams/BaselinePolicy.ts
+++ b/packages/core/src/upstreams/BaselinePolicy.ts
@@ -18,7 +18,7 @@
     return Math.min(EJECTION_MAX_MS, EJECTION_MS * (earlier + 1));
   }
 
-  override getTrialScore(): undefined {
+  override computeTrialScore(): undefined {
     return undefined;
   }
 }
--- a/packages/core/src/upstreams/CautiousDetectionPolicy.ts
+++ b/packages/core/src/upstreams/CautiousDetectionPolicy.ts
@@ -6,12 +6,8 @@
 
 /** Minimises false ejections: ejects only with agreeing evidence from a second place or after confirmation by a probe. */
 export class CautiousDetectionPolicy extends evidencePolicy.EvidencePolicy {
-  override getTrialScore(): number {
-    return 4;
-  }
-
   protected override getSteering(): { readonly from: number; readonly to: number } {
-    return { from: 4, to: 7 };
+    return { from: 3.5, to: 6.5 };
   }
 
   protected override isProven(known: suspicion.Suspicion): boolean {
--- a/packages/core/src/upstreams/DetectionPolicy.ts
+++ b/packages/core/src/upstreams/DetectionPolicy.ts
@@ -26,6 +26,9 @@
    */
   abstract computeEjectionMs(earlier: number): number;
 
-  /** Gets the score that a returning instance begins with, undefined if it returns at its full weight. */
-  abstract getTrialScore(): number | undefined;
+  /**
+   * Computes the score that a returning instance begins with, undefined if it returns at its full weight.
+   * @param ejections - Ejections that still count, at least 1.
+   */
+  abstract computeTrialScore(ejections: number): number | undefined;
 }
--- a/packages/core/src/upstreams/EvidencePolicy.ts
+++ b/packages/core/src/upstreams/EvidencePolicy.ts
@@ -44,6 +44,11 @@
     return Math.min(EJECTION_MAX_MS, EJECTION_MIN_MS * 2 ** earlier);
   }
 
+  override computeTrialScore(ejections: number): number {
+    const { from, to } = this.getSteering();
+    return from + (to - from) * (1 - 0.5 ** (ejections - 1));
+  }
+
   /** Gets the scores between which the weight falls from 1 to the trial share. */
   protected abstract getSteering(): { readonly from: number; readonly to: number };
 
--- a/packages/core/src/upstreams/EvidenceWindow.ts
+++ b/packages/core/src/upstreams/EvidenceWindow.ts
@@ -3,6 +3,12 @@
 
 const WINDOW_HALF_LIFE_MS = 3_000;
 
+// At the trial share attempts are few, so those of the whole trial are needed to tell a low error rate from none.
+const TRIAL_HALF_LIFE_MS = 30_000;
+
+// Instances that look slow get few attempts, so their latencies are kept for longer.
+const LATENCY_HALF_LIFE_MS = 10_000;
+
 const RECENT_HALF_LIFE_MS = 750;
 
 // An instance with few attempts must not stay suspected by old evidence.
@@ -113,19 +119,21 @@
   /**
    * Adds the recorded attempts to the counts, after the older ones were decayed.
    * @param elapsedMs - Time since the last fold, in milliseconds.
+   * @param ejection - Whether the instance is on trial.
    */
-  updateCounts(elapsedMs: number): void {
+  updateCounts(elapsedMs: number, ejection: 'in-service' | 'ejected' | 'trial'): void {
     const { pending } = this;
-    const keep = 0.5 ** (elapsedMs / WINDOW_HALF_LIFE_MS);
+    const keep = 0.5 ** (elapsedMs / (ejection === 'trial' ? TRIAL_HALF_LIFE_MS : WINDOW_HALF_LIFE_MS));
+    const keepLatency = 0.5 ** (elapsedMs / LATENCY_HALF_LIFE_MS);
     const keepRecent = 0.5 ** (elapsedMs / RECENT_HALF_LIFE_MS);
     this.window.good = this.window.good * keep + pending.good;
     this.window.bad = this.window.bad * keep + pending.bad;
     this.recent.good = this.recent.good * keepRecent + pending.good;
     this.recent.bad = this.recent.bad * keepRecent + pending.bad;
     this.silent = this.silent * keep + pending.silent;
-    this.latency.count = this.latency.count * keep + pending.latencies;
-    this.latency.sum = this.latency.sum * keep + pending.sum;
-    this.latency.squares = this.latency.squares * keep + pending.squares;
+    this.latency.count = this.latency.count * keepLatency + pending.latencies;
+    this.latency.sum = this.latency.sum * keepLatency + pending.sum;
+    this.latency.squares = this.latency.squares * keepLatency + pending.squares;
   }
 
   /**
@@ -142,12 +150,16 @@
   }
 
   /**
-   * Adds evidence other than attempts, or sets the start of a trial.
-   * @param score - New cumulative sum.
+   * Clears what was known before an instance returns to rotation.
+   * @param score - Cumulative sum that it begins with.
    */
-  setScore(score: number): void {
-    this.score = Math.min(SCORE_MAX, Math.max(0, score));
-    this.consecutiveBad = 0;
+  reset(score: number): void {
+    this.removePending();
+    Object.assign(this.window, { good: 0, bad: 0 });
+    Object.assign(this.recent, { good: 0, bad: 0 });
+    Object.assign(this.latency, { count: 0, sum: 0, squares: 0 });
+    this.silent = 0;
+    this.score = Math.min(SCORE_MAX, score);
   }
 
   private recordGood(): void {
--- a/packages/core/src/upstreams/Instance.ts
+++ b/packages/core/src/upstreams/Instance.ts
@@ -47,6 +47,9 @@
   /** Whether the evidence points to the way to the place of the instance. */
   link: 'good' | 'suspected' = 'good';
 
+  /** Part of the weight that the evidence leaves, between 0 and 1. */
+  steering = 1;
+
   /** Weight between 0 and 1 in the random choice. */
   weight = 1;
 
@@ -92,6 +95,14 @@
     this.link = link;
   }
 
+  /**
+   * Sets the part of the weight that the evidence leaves.
+   * @param steering - Part between 0 and 1.
+   */
+  steer(steering: number): void {
+    this.steering = steering;
+  }
+
   /**
    * Sets the weight in the random choice.
    * @param weight - Weight between 0 and 1.
@@ -154,6 +165,11 @@
       || this.ejection.getState() !== 'in-service' || this.ejection.getCount() > 0 || this.evidence.getScore() >= NEGLIGIBLE_SCORE;
   }
 
+  /** Whether a probe may tell something: the instance is ejected, or this VM has evidence of its own against it. */
+  needsProbe(): boolean {
+    return this.ejection.getState() === 'ejected' || this.evidence.getScore() >= NEGLIGIBLE_SCORE;
+  }
+
   /** Whether the instance has a slot left for this VM. */
   canTake(): boolean {
     return this.inFlight < this.getCurrentLimit();
--- a/packages/core/src/upstreams/PeerEvidence.ts
+++ b/packages/core/src/upstreams/PeerEvidence.ts
@@ -14,7 +14,8 @@
 
 const AGREES_RATIO = 3;
 
-const CONTRADICTS_RATIO = -2;
+// 14 good attempts and no bad one; fewer are common at an instance that fails one attempt in five.
+const CONTRADICTS_RATIO = -3;
 
 const PLACE_AGREES_RATIO = 1;
 
--- a/packages/core/src/upstreams/PoolHealth.ts
+++ b/packages/core/src/upstreams/PoolHealth.ts
@@ -22,6 +22,11 @@
 // Ejections made shortly before a link is suspected were caused by the link.
 const LINK_REINSTATE_MS = 10_000;
 
+// Steering takes away the attempts that would show the fault again, so weights rise slowly unless peers find the instance good.
+const WEIGHT_RISE_MS = 60_000;
+
+const CLEARED_WEIGHT_RISE_MS = 4_000;
+
 // VMs that ejected at the same time wait for different times, so that they do not repeat it together.
 const HOLD_MIN_MS = 2_000;
 
@@ -112,7 +117,7 @@
       each.ejection.expire(nowMs);
       if (each.ejection.isDue(nowMs)) this.reinstate(each, nowMs);
     });
-    instances.forEach((each) => each.evidence.updateCounts(elapsedMs));
+    instances.forEach((each) => each.evidence.updateCounts(elapsedMs, each.ejection.getState()));
     const rates = this.baseline.computeRates(instances);
     this.baseline.updateSlowLimits(instances);
     instances.forEach((each) => each.evidence.updateScore(rates, elapsedMs));
@@ -122,7 +127,7 @@
     const known = instances.map((each, index) => this.describe({
       each, pooled: pooled[index]!, pool: rates.state, ejectedShare: ejected / instances.length, nowMs,
     }));
-    instances.forEach((each, index) => this.steer(each, known[index]!, nowMs));
+    instances.forEach((each, index) => this.steer(each, known[index]!, nowMs, elapsedMs));
     this.ejectProven(instances, known, nowMs);
     this.checkFloor(instances, nowMs);
   }
@@ -171,8 +176,10 @@
     };
   }
 
-  private steer(each: instance.Instance, known: suspicion.Suspicion, nowMs: number): void {
-    const weight = this.policy.weigh(known);
+  private steer(each: instance.Instance, known: suspicion.Suspicion, nowMs: number, elapsedMs: number): void {
+    const riseMs = known.pooled.verdict === 'contradicts' ? CLEARED_WEIGHT_RISE_MS : WEIGHT_RISE_MS;
+    const weight = Math.min(this.policy.weigh(known), each.steering + elapsedMs / riseMs);
+    each.steer(weight);
     each.suspect(this.policy.isSuspect(known) ? 'suspected' : 'none', nowMs);
     each.setWeight(Math.min(weight, each.ejection.computeTrialWeight(nowMs), this.slowStart.computeRamp(each.coldSinceMs, nowMs)));
     if (weight < 1) each.setReason(this.formatReason(known));
@@ -193,9 +200,9 @@
   }
 
   private reinstate(each: instance.Instance, nowMs: number): void {
-    const trialScore = this.policy.getTrialScore();
+    const trialScore = this.policy.computeTrialScore(Math.max(1, each.ejection.getCount()));
     each.ejection.reinstate(nowMs, trialScore === undefined ? 'in-service' : 'trial');
-    each.evidence.setScore(trialScore ?? 0);
+    each.evidence.reset(trialScore ?? 0);
     each.setWeight(each.ejection.computeTrialWeight(nowMs));
   }
 
--- a/packages/core/src/upstreams/PromptDetectionPolicy.ts
+++ b/packages/core/src/upstreams/PromptDetectionPolicy.ts
@@ -10,10 +10,6 @@
 
 /** Minimises detection time: steers on a low threshold and ejects on its own evidence unless peers contradict it. */
 export class PromptDetectionPolicy extends evidencePolicy.EvidencePolicy {
-  override getTrialScore(): number {
-    return 3;
-  }
-
   protected override getSteering(): { readonly from: number; readonly to: number } {
     return { from: 3, to: 6 };
   }
--- a/packages/core/src/upstreams/UpstreamTask.ts
+++ b/packages/core/src/upstreams/UpstreamTask.ts
@@ -1,9 +1,9 @@
 import type * as contracts from '../contracts/index.js';
 import * as tasks from '../tasks/index.js';
-import type * as time from '../time/index.js';
 import type * as vms from '../vms/index.js';
 import type * as drainNotice from './DrainNotice.js';
 import type * as drainRecord from './DrainRecord.js';
+import * as evaluationTimer from './EvaluationTimer.js';
 import * as evidenceExchange from './EvidenceExchange.js';
 import type * as instance from './Instance.js';
 import type * as instanceChooser from './InstanceChooser.js';
@@ -17,11 +17,6 @@
 
 type Requester = Message<'acquire'>['replyTo'];
 
-const TICK_PERIOD_MS = 250;
-
-// Evidence of a period whose tick is later than this may be caused by a pause of this VM.
-const LATE_LIMIT_MS = 200;
-
 /** Options of an `UpstreamTask`. */
 export interface UpstreamTaskOptions {
   readonly context: vms.VmContext;
@@ -53,12 +48,7 @@
 
   private readonly announcer: upstreamAnnouncer.UpstreamAnnouncer;
 
-  // Runs only while there is work or doubt, so that idle services cost nothing.
-  private tick: time.TimerSubscription | undefined;
-
-  private tickDueMs = 0;
-
-  private evaluatedAtMs: number;
+  private readonly timer: evaluationTimer.EvaluationTimer;
 
   private lifecycle: 'running' | 'stopped' = 'running';
 
@@ -76,13 +66,13 @@
       rules, contract, place: context.identity.place, random: context.random,
     });
     this.announcer = new upstreamAnnouncer.UpstreamAnnouncer(context, contract.name);
-    this.evaluatedAtMs = context.timers.getNowMs();
+    this.timer = new evaluationTimer.EvaluationTimer(context.timers, this);
   }
 
   /** Ends the subscriptions of the task when its service is no longer declared. */
   stop(): void {
     this.lifecycle = 'stopped';
-    this.tick?.cancel();
+    this.timer.close();
     this.table.clear();
     this.chooser.setInstances([]);
     // What waits for capacity asks again and learns that there is none.
@@ -134,7 +124,7 @@
         break;
       case 'evidence-reported':
         this.health.peerEvidence.record(message.from, message.place, message.rows, nowMs);
-        this.startTick(nowMs);
+        this.timer.start(nowMs);
         break;
       case 'peer-ejections':
         if (this.health.peerEjections.record(message.from, message.instances, nowMs) === 'changed') this.updateRotation(nowMs);
@@ -166,7 +156,7 @@
     replyTo.post({
       type: 'assigned', attemptId, instance: chosen.address, hedgeAfterMs: this.latencies.getHedgeAfterMs(),
     });
-    this.startTick(nowMs);
+    this.timer.start(nowMs);
   }
 
   private endAttempt(message: Message<'observed'>, nowMs: number): void {
@@ -181,7 +171,7 @@
     if (this.health.gate.isOpen()) this.recordEvidence(attempted, message, nowMs);
     if (message.drain === 'leaving' || observation === 'draining') this.drainInstance(attempted, nowMs);
     this.notifyWaiting();
-    this.startTick(nowMs);
+    this.timer.start(nowMs);
   }
 
   private recordEvidence(attempted: instance.Instance, message: Message<'observed'>, nowMs: number): void {
@@ -229,19 +219,18 @@
   }
 
   private evaluatePool(nowMs: number): void {
-    this.tick = undefined;
-    if (nowMs - this.tickDueMs > LATE_LIMIT_MS) this.table.list().forEach((each) => each.evidence.removePending());
+    const { elapsedMs, timeliness } = this.timer.finish(nowMs);
+    if (timeliness === 'late') this.table.list().forEach((each) => each.evidence.removePending());
     this.table.expire(nowMs);
     this.latencies.update();
-    this.health.evaluate(this.table.list(), nowMs, nowMs - this.evaluatedAtMs);
-    this.evaluatedAtMs = nowMs;
+    this.health.evaluate(this.table.list(), nowMs, elapsedMs);
     this.updateRotation(nowMs);
     const doubted = this.table.list().filter((each) => each.state === 'live'
-      && (each.suspicion === 'suspected' || each.ejection.getState() === 'ejected'));
+      && (each.suspicion === 'suspected' || each.steering < 1 || each.ejection.getState() === 'ejected'));
     if (this.health.gate.isOpen()) {
       this.announcer.requestEvidence(this.exchange.listRequests(doubted.filter((each) => each.isInRotation()), nowMs));
     }
-    this.announcer.sendProbes(this.health.probes.begin(doubted, nowMs));
+    this.announcer.sendProbes(this.health.probes.begin(doubted.filter((each) => each.needsProbe()), nowMs));
   }
 
   // Called after every change of instances, drains, ejections or weights.
@@ -250,7 +239,7 @@
     this.chooser.setInstances(this.table.list());
     this.announcer.announceEjections(this.table.list());
     this.notifyWaiting();
-    if (this.attempts.size > 0 || this.table.list().some((each) => each.needsEvaluation())) this.startTick(nowMs);
+    if (this.attempts.size > 0 || this.table.list().some((each) => each.needsEvaluation())) this.timer.start(nowMs);
   }
 
   private notifyWaiting(): void {
@@ -259,10 +248,4 @@
     this.waiting.clear();
     waiting.forEach((requester) => requester.post({ type: 'capacity-freed', service: this.contract.name }));
   }
-
-  private startTick(nowMs: number): void {
-    if (this.tick !== undefined || this.lifecycle === 'stopped') return;
-    this.tickDueMs = nowMs + TICK_PERIOD_MS;
-    this.tick = this.context.timers.subscribe({ mailbox: this, message: { type: 'tick' }, delayMs: TICK_PERIOD_MS });
-  }
 }
--- a/packages/core/test/upstreams/CapacityFloor.test.ts
+++ b/packages/core/test/upstreams/CapacityFloor.test.ts
@@ -48,12 +48,7 @@
 
   vitest.it('reinstates at once when the floor is raised, instances leave or peers eject (guards against floors checked only at ejection)', () => {
     const changes: ((simulation: poolSimulation.PoolSimulation) => void)[] = [
-      (simulation) => simulation.postAll({
-        type: 'contract',
-        contract: {
-          name: 's', floorInstances: 7, slotsPerInstance: 4, connectionsPerInstance: 100, detection: 'prompt', requestIdEcho: 'absent', notRunAnswers: 'declared', answerDigest: 'absent', kinds: [],
-        },
-      }),
+      (simulation) => simulation.postAll({ type: 'contract', contract: poolSimulation.buildContract({ floorInstances: 7 }) }),
       (simulation) => simulation.postAll({ type: 'drain', notices: [{ service: 's', instance: 'i7', incarnation: 'x' }] }),
       (simulation) => simulation.postAll({ type: 'peer-ejections', from: 'other', instances: ['i8'] }),
       (simulation) => simulation.postAll({ type: 'list', entries: poolSimulation.buildEntries(7) }),
--- a/packages/core/test/upstreams/DetectionPolicy.test.ts
+++ b/packages/core/test/upstreams/DetectionPolicy.test.ts
@@ -2,11 +2,15 @@
 import * as vitest from 'vitest';
 import * as poolSimulation from './PoolSimulation.js';
 
-// With MEASURE_MS=60000 the test prints the figures of docs/notes-upstreams.md.
+// With MEASURE_MS=60000 and MEASURE_SEEDS=1,2,3 the test prints the figures of docs/notes-upstreams.md.
 const FAULT_MS = Number(process.env.MEASURE_MS ?? 20_000);
 
+const SEEDS = (process.env.MEASURE_SEEDS ?? '1').split(',').map(Number);
+
 const GRAY = 'i4';
 
+const INSTANCES = 21;
+
 interface Fault {
   readonly name: string;
   /** Changes what a gray instance does; undefined while it serves as a healthy one. */
@@ -33,6 +37,8 @@
 ];
 
 interface Measure {
+  /** Attempts at the gray instance, as a part of its fair share. */
+  readonly share: number;
   /** Time for which the gray instance had more than a trial share, in seconds. */
   readonly detectionS: number;
   /** Time for which healthy instances were ejected, in seconds of one VM's share. */
@@ -41,22 +47,37 @@
 
 type PolicyName = core.contracts.DetectionPolicyName;
 
-function measureFault(fault: Fault, detection: PolicyName, options: poolSimulation.SimulationOptions = {}): Measure {
+function countAttempts(simulation: poolSimulation.PoolSimulation): { readonly gray: number; readonly all: number } {
+  return { gray: simulation.attempts.get(`${GRAY}/x`) ?? 0, all: [...simulation.attempts.values()].reduce((sum, count) => sum + count, 0) };
+}
+
+function measureSeed(fault: Fault, detection: PolicyName, options: poolSimulation.SimulationOptions): Measure {
   const simulation = new poolSimulation.PoolSimulation({
-    vms: 12, instances: 21, requestsPerSecond: 60, contract: { detection, floorInstances: 15 }, ...options,
+    vms: 12, instances: INSTANCES, requestsPerSecond: 60, contract: { detection, floorInstances: 15 }, ...options,
   });
   simulation.runFor(20_000);
   simulation.serve = (attempt) => {
     const healthy = poolSimulation.serveHealthy(attempt);
     return attempt.instance.name === GRAY ? fault.disturb(attempt, healthy) : healthy;
   };
+  const before = countAttempts(simulation);
   let detectionMs = 0;
   let falseMs = 0;
   simulation.runFor(FAULT_MS, () => {
     if (simulation.computeWeight(GRAY) > 0.06) detectionMs += 250;
     falseMs += 250 * simulation.vms.flatMap((vm) => [...vm.ejected]).filter((name) => name !== GRAY).length;
   });
-  return { detectionS: detectionMs / 1_000, falseS: falseMs / 1_000 };
+  const after = countAttempts(simulation);
+  return {
+    share: (INSTANCES * (after.gray - before.gray)) / (after.all - before.all), detectionS: detectionMs / 1_000, falseS: falseMs / 1_000,
+  };
+}
+
+/** Measures the mean over the seeds. */
+function measureFault(fault: Fault, detection: PolicyName, options: poolSimulation.SimulationOptions = {}): Measure {
+  const measures = SEEDS.map((seed) => measureSeed(fault, detection, { ...options, seed }));
+  const average = (name: keyof Measure): number => measures.reduce((sum, each) => sum + each[name], 0) / measures.length;
+  return { share: average('share'), detectionS: average('detectionS'), falseS: average('falseS') };
 }
 
 vitest.describe('DetectionPolicy', () => {
@@ -68,9 +89,12 @@
       const prompt = measure('prompt');
       const cautious = measure('cautious');
       if (process.env.MEASURE_MS !== undefined) {
-        const text = [prompt, cautious, ...baselines].map((each) => `${each.detectionS} (${each.falseS})`).join(', ');
-        process.stdout.write(`${fault.name}: ${text}\n`);
+        const text = [prompt, cautious, ...baselines].map((each) => `${each.detectionS.toFixed(1)} / ${each.share.toFixed(2)} / ${each.falseS.toFixed(1)}`).join(' | ');
+        process.stdout.write(`| ${fault.name} | ${text} |\n`);
       }
+      const bestShare = Math.min(...baselines.map((each) => each.share));
+      vitest.expect(prompt.share).toBeLessThan(bestShare);
+      vitest.expect(cautious.share).toBeLessThan(bestShare);
       vitest.expect(prompt.detectionS).toBeLessThan(best);
       vitest.expect(cautious.detectionS).toBeLessThan(best);
       vitest.expect(prompt.falseS + cautious.falseS).toBe(0);
--- a/packages/core/test/upstreams/PoolSimulation.ts
+++ b/packages/core/test/upstreams/PoolSimulation.ts
@@ -47,6 +47,21 @@
   }));
 }
 
+export function buildContract(overrides: Partial<core.contracts.ServiceContract> = {}): core.contracts.ServiceContract {
+  return {
+    name: 's',
+    floorInstances: 3,
+    slotsPerInstance: 4,
+    connectionsPerInstance: 100,
+    detection: 'prompt',
+    requestIdEcho: 'echoed',
+    notRunAnswers: 'declared',
+    answerDigest: 'absent',
+    kinds: [],
+    ...overrides,
+  };
+}
+
 /** Builds the default rules with some of them replaced, to plant a fault. */
 export function buildRules(replaced: Partial<core.upstreams.UpstreamRules>): core.upstreams.UpstreamRules {
   return Object.assign(new core.upstreams.UpstreamRules(), replaced);
@@ -111,6 +126,39 @@
     return this.vms.reduce((sum, _, vm) => sum + (this.getStatus(name, vm)?.weight ?? 0), 0) / this.vms.length;
   }
 
+  /** Creates the surroundings of one VM. */
+  createContext(name: string, place: string, ejected = new Set<string>()): core.vms.VmContext {
+    const ignore = { post: () => undefined };
+    return {
+      identity: {
+        name, incarnation: 'x', host: 'h', port: 1, peerPort: 2, place,
+      },
+      deployment: 'test',
+      scheduler: new core.tasks.TaskScheduler(),
+      timers: this.timers,
+      random: this.random,
+      codec: {} as core.contracts.DocumentCodec,
+      outbox: { post: (output) => this.handleOutput(name, output) },
+      mailboxes: {
+        requests: ignore,
+        addresses: ignore,
+        evidence: ignore,
+        ledger: ignore,
+        configuration: ignore,
+        upstreams: ignore,
+        lifecycle: ignore,
+        peers: { post: (message) => this.relay(name, place, ejected, message) },
+      },
+      rules: {
+        callers: new core.callers.CallerRules(),
+        contracts: new core.contracts.ContractRules(),
+        upstreams: this.options.rules ?? buildRules({}),
+      },
+      seedPeers: [],
+      addressValidityMs: 1_000,
+    };
+  }
+
   sendRequest(vm = 0, excluded: readonly string[] = []): core.upstreams.AcquireReply | undefined {
     const { name, place, task } = this.vms[vm]!;
     const attemptId = `${name}/${this.nextAttempt}`;
@@ -157,47 +205,8 @@
 
   private createVm(name: string, place: string): SimulatedVm {
     const ejected = new Set<string>();
-    const ignore = { post: () => undefined };
-    const context: core.vms.VmContext = {
-      identity: {
-        name, incarnation: 'x', host: 'h', port: 1, peerPort: 2, place,
-      },
-      deployment: 'test',
-      scheduler: new core.tasks.TaskScheduler(),
-      timers: this.timers,
-      random: this.random,
-      codec: {} as core.contracts.DocumentCodec,
-      outbox: { post: (output) => this.handleOutput(name, output) },
-      mailboxes: {
-        requests: ignore,
-        addresses: ignore,
-        evidence: ignore,
-        ledger: ignore,
-        configuration: ignore,
-        upstreams: ignore,
-        lifecycle: ignore,
-        peers: { post: (message) => this.relay(name, place, ejected, message) },
-      },
-      rules: {
-        callers: new core.callers.CallerRules(),
-        contracts: new core.contracts.ContractRules(),
-        upstreams: this.options.rules ?? buildRules({}),
-      },
-      seedPeers: [],
-      addressValidityMs: 1_000,
-    };
-    const contract: core.contracts.ServiceContract = {
-      name: 's',
-      floorInstances: 3,
-      slotsPerInstance: 4,
-      connectionsPerInstance: 100,
-      detection: 'prompt',
-      requestIdEcho: 'echoed',
-      notRunAnswers: 'declared',
-      answerDigest: 'absent',
-      kinds: [],
-      ...this.options.contract,
-    };
+    const context = this.createContext(name, place, ejected);
+    const contract = buildContract(this.options.contract);
     const task = new core.upstreams.UpstreamTask({ context, contract });
     return {
       name, place, task, ejected,
