--- a/packages/core/src/callers/AddressTask.ts
+++ b/packages/core/src/callers/AddressTask.ts
@@ -1,4 +1,4 @@
-import type * as places from '../places/index.js';
+import * as places from '../places/index.js';
 import * as tasks from '../tasks/index.js';
 import type * as vms from '../vms/index.js';
 import type * as addressChoice from './AddressChoice.js';
@@ -9,7 +9,8 @@
 
 /** Owns the choice of the VMs that callers of a service use. */
 export class AddressTask extends tasks.Task<addressMessage.AddressMessage> {
-  private services: ReadonlySet<string> | undefined;
+  // Sizes of the fronting sets of the declared services.
+  private services: ReadonlyMap<string, number> | undefined;
 
   private state: 'starting' | 'serving' | 'leaving' = 'starting';
 
@@ -39,7 +40,8 @@
         this.receiveQuery(message.queryId, message.service);
         break;
       case 'document-accepted':
-        this.services = new Set(message.document.services.map((service) => service.name));
+        this.services = new Map(message.document.services.map((service) => (
+          [service.name, places.FrontingSet.computeSize(service.floorInstances)] as const)));
         this.fronting.clear();
         break;
       case 'state-changed':
@@ -90,7 +92,7 @@
     if (known !== undefined) return known;
     const others = this.peers.filter((peer) => this.choice.isUsable(peer)).map((peer) => peer.identity);
     const usable = this.state === 'serving' ? [this.context.identity, ...others] : others;
-    const members = this.frontingSet.chooseMembers(service, usable);
+    const members = this.frontingSet.chooseMembers(service, usable, this.services?.get(service));
     if (this.fronting.size < FRONTING_LIMIT) this.fronting.set(service, members);
     return members;
   }
--- a/packages/core/src/upstreams/InstanceChooser.ts
+++ b/packages/core/src/upstreams/InstanceChooser.ts
@@ -3,6 +3,9 @@
 
 const DRAWS = 4;
 
+// Share of attempts that go to any instance, so that every VM keeps some evidence about instances that others prefer.
+const EXPLORATION_SHARE = 0.1;
+
 /** Chooses the instance of an attempt among those in rotation. */
 export class InstanceChooser {
   private instances: readonly instance.Instance[] = [];
@@ -11,6 +14,10 @@
 
   private total = 0;
 
+  private preferredNames: ReadonlySet<string> = new Set();
+
+  private preferred: readonly instance.Instance[] = [];
+
   /** @param random - Source of the random choice. */
   constructor(private readonly random: randomness.RandomSource) {}
 
@@ -26,6 +33,16 @@
       this.total += each.weight;
       this.cumulative[index] = this.total;
     });
+    this.preferred = this.instances.filter((each) => this.preferredNames.has(each.address.name));
+  }
+
+  /**
+   * Sets the instances that this VM uses first.
+   * @param names - Names of the instances.
+   */
+  setPreferred(names: readonly string[]): void {
+    this.preferredNames = new Set(names);
+    this.preferred = this.instances.filter((each) => this.preferredNames.has(each.address.name));
   }
 
   /** Whether any instance in rotation has a slot left. */
@@ -39,6 +56,30 @@
    * @param nowMs - Current time, in milliseconds.
    */
   choose(excluded: readonly string[], nowMs: number): instance.Instance | 'saturated' | 'none' {
+    if (this.preferred.length > 0 && this.random.drawFraction() >= EXPLORATION_SHARE) {
+      const chosen = this.choosePreferred(excluded, nowMs);
+      if (chosen !== undefined) return chosen;
+    }
+    return this.chooseAny(excluded, nowMs);
+  }
+
+  private choosePreferred(excluded: readonly string[], nowMs: number): instance.Instance | undefined {
+    const { preferred } = this;
+    const start = this.random.drawInteger(preferred.length);
+    let best: instance.Instance | undefined;
+    for (let step = 0; step < preferred.length; step += 1) {
+      const candidate = preferred[(start + step) % preferred.length]!;
+      if (candidate.canTake() && !excluded.includes(candidate.address.name)) {
+        // A lowered weight is an exact share of the work, also for the VM that prefers the instance.
+        if (candidate.weight < 1) {
+          if (this.random.drawFraction() * preferred.length < candidate.weight) return candidate;
+        } else if (best === undefined || candidate.score(nowMs) < best.score(nowMs)) best = candidate;
+      }
+    }
+    return best;
+  }
+
+  private chooseAny(excluded: readonly string[], nowMs: number): instance.Instance | 'saturated' | 'none' {
     let first: instance.Instance | undefined;
     for (let draw = 0; draw < DRAWS; draw += 1) {
       const drawn = this.draw();
--- a/packages/core/src/upstreams/UpstreamMessage.ts
+++ b/packages/core/src/upstreams/UpstreamMessage.ts
@@ -1,4 +1,5 @@
 import type * as contracts from '../contracts/index.js';
+import type * as places from '../places/index.js';
 import type * as tasks from '../tasks/index.js';
 import type * as vms from '../vms/index.js';
 import type * as drainNotice from './DrainNotice.js';
@@ -44,6 +45,8 @@
   | { readonly type: 'evidence-requested'; readonly from: string; readonly instances: readonly string[] }
   | { readonly type: 'evidence-reported'; readonly from: string; readonly place: string; readonly rows: readonly evidenceRow.EvidenceRow[] }
   | { readonly type: 'peer-ejections'; readonly from: string; readonly instances: readonly string[] }
+  /** Fronting set of the service, in answer to `fronting-requested`. */
+  | { readonly type: 'fronting'; readonly vms: readonly places.FrontingCandidate[] }
   | { readonly type: 'local-health'; readonly health: 'good' | 'late' }
   | { readonly type: 'status-requested'; readonly replyTo: tasks.Mailbox<UpstreamStatus> }
   | { readonly type: 'tick' };
--- a/packages/core/src/upstreams/UpstreamRules.ts
+++ b/packages/core/src/upstreams/UpstreamRules.ts
@@ -8,6 +8,7 @@
 import * as drainRecord from './DrainRecord.js';
 import * as evidenceGate from './EvidenceGate.js';
 import * as instanceChooser from './InstanceChooser.js';
+import * as instancePreference from './InstancePreference.js';
 import * as listTrust from './ListTrust.js';
 import * as noEjectionPolicy from './NoEjectionPolicy.js';
 import * as outlierPercentagePolicy from './OutlierPercentagePolicy.js';
@@ -43,6 +44,11 @@
     return new instanceChooser.InstanceChooser(random);
   }
 
+  /** Creates the assignment of instances to the VMs that use them first. */
+  createPreference(): instancePreference.InstancePreference {
+    return new instancePreference.InstancePreference();
+  }
+
   /**
    * Creates the record of what peers report.
    * @param place - Place of this VM.
--- a/packages/core/src/upstreams/UpstreamTask.ts
+++ b/packages/core/src/upstreams/UpstreamTask.ts
@@ -1,4 +1,5 @@
 import type * as contracts from '../contracts/index.js';
+import type * as places from '../places/index.js';
 import * as tasks from '../tasks/index.js';
 import type * as vms from '../vms/index.js';
 import type * as drainNotice from './DrainNotice.js';
@@ -7,6 +8,7 @@
 import * as evidenceExchange from './EvidenceExchange.js';
 import type * as instance from './Instance.js';
 import type * as instanceChooser from './InstanceChooser.js';
+import type * as instancePreference from './InstancePreference.js';
 import * as instanceTable from './InstanceTable.js';
 import * as latencySamples from './LatencySamples.js';
 import * as poolHealth from './PoolHealth.js';
@@ -15,6 +17,9 @@
 
 type Message<Type extends upstreamMessage.UpstreamMessage['type']> = Extract<upstreamMessage.UpstreamMessage, { readonly type: Type }>;
 
+// The fronting set follows the view of the peers; each request of it is a lookup in a map.
+const FRONTING_PERIOD_MS = 1_000;
+
 type Requester = Message<'acquire'>['replyTo'];
 
 /** Options of an `UpstreamTask`. */
@@ -50,6 +55,12 @@
 
   private readonly timer: evaluationTimer.EvaluationTimer;
 
+  private readonly preference: instancePreference.InstancePreference;
+
+  private fronting: readonly places.FrontingCandidate[] = [];
+
+  private frontingAskedAtMs = -Infinity;
+
   private lifecycle: 'running' | 'stopped' = 'running';
 
   /** @param options - Surroundings and contract of the service. */
@@ -62,6 +73,7 @@
     this.drains = rules.createDrainRecord();
     this.table = new instanceTable.InstanceTable({ drains: this.drains, trust: rules.createListTrust(), contract });
     this.chooser = rules.createChooser(context.random);
+    this.preference = rules.createPreference();
     this.health = new poolHealth.PoolHealth({
       rules, contract, place: context.identity.place, random: context.random,
     });
@@ -119,6 +131,10 @@
       case 'probe-ended':
         this.endProbe(message, nowMs);
         break;
+      case 'fronting':
+        this.fronting = message.vms;
+        this.updatePreferred();
+        break;
       case 'evidence-requested':
         this.reportEvidence(message, nowMs);
         break;
@@ -187,9 +203,21 @@
     this.applyDrains(leaving.map((entry) => ({
       service: this.contract.name, instance: entry.name, incarnation: entry.incarnation,
     })), nowMs);
+    this.updatePreferred();
     this.updateRotation(nowMs);
   }
 
+  private updatePreferred(): void {
+    const addresses = this.table.list().map((each) => each.address);
+    this.chooser.setPreferred(this.preference.listPreferred(this.context.identity.name, this.fronting, addresses));
+  }
+
+  private requestFronting(nowMs: number): void {
+    if (nowMs - this.frontingAskedAtMs < FRONTING_PERIOD_MS) return;
+    this.frontingAskedAtMs = nowMs;
+    this.context.mailboxes.peers.post({ type: 'fronting-requested', service: this.contract.name, replyTo: this });
+  }
+
   private drainInstance(each: instance.Instance, nowMs: number): void {
     const { service, name, incarnation } = each.address;
     this.applyDrains([{ service, instance: name, incarnation }], nowMs);
@@ -219,6 +247,7 @@
   }
 
   private evaluatePool(nowMs: number): void {
+    this.requestFronting(nowMs);
     const { elapsedMs, timeliness } = this.timer.finish(nowMs);
     if (timeliness === 'late') this.table.list().forEach((each) => each.evidence.removePending());
     this.table.expire(nowMs);
--- a/packages/core/src/vms/PeerTask.ts
+++ b/packages/core/src/vms/PeerTask.ts
@@ -111,8 +111,11 @@
         break;
       case 'send-to-fronting':
         this.publisher.listFronting(message.service)
-          .filter((name) => name !== this.context.identity.name)
-          .forEach((name) => this.sendByName(name, message.message));
+          .filter((member) => member.name !== this.context.identity.name)
+          .forEach((member) => this.sendByName(member.name, message.message));
+        break;
+      case 'fronting-requested':
+        message.replyTo.post({ type: 'fronting', vms: this.publisher.listFronting(message.service) });
         break;
       case 'push':
         if (message.message.type === 'drain') this.recordDrains(message.message.notices, 'own');
@@ -128,6 +131,9 @@
         this.document = message;
         this.updateMode();
         break;
+      case 'document-accepted':
+        this.publisher.applyDocument(message.document);
+        break;
       case 'ejections-changed':
         this.exchanges.setEjections(message.notice);
         break;
--- a/packages/core/src/vms/PeerTaskMessage.ts
+++ b/packages/core/src/vms/PeerTaskMessage.ts
@@ -27,6 +27,7 @@
   | { readonly type: 'send'; readonly to: string; readonly message: peerMessage.PeerMessage }
   /** Sends to the other VMs of the fronting set of a service. */
   | { readonly type: 'send-to-fronting'; readonly service: string; readonly message: peerMessage.PeerMessage }
+  | { readonly type: 'fronting-requested'; readonly service: string; readonly replyTo: tasks.Mailbox<upstreams.UpstreamMessage> }
   /** Sends to all active peers at once. */
   | { readonly type: 'push'; readonly message: peerMessage.PeerMessage }
   /** The transport received something that is no peer message. */
--- a/packages/core/src/vms/ViewPublisher.ts
+++ b/packages/core/src/vms/ViewPublisher.ts
@@ -1,3 +1,4 @@
+import type * as contracts from '../contracts/index.js';
 import * as places from '../places/index.js';
 import type * as partialView from './PartialView.js';
 import type * as peerModule from './Peer.js';
@@ -8,7 +9,10 @@
 export class ViewPublisher {
   private published: readonly peerTaskMessage.PeerView[] = [];
 
-  private readonly fronting = new Map<string, readonly string[]>();
+  private readonly fronting = new Map<string, readonly places.FrontingCandidate[]>();
+
+  // Sizes of the fronting sets of the declared services.
+  private sizes: ReadonlyMap<string, number> = new Map();
 
   private readonly frontingSet: places.FrontingSet;
 
@@ -17,6 +21,15 @@
     this.frontingSet = context.rules.callers.createFrontingSet();
   }
 
+  /**
+   * Applies the declarations of services.
+   * @param document - Document in force.
+   */
+  applyDocument(document: contracts.DeploymentDocument): void {
+    this.sizes = new Map(document.services.map((service) => [service.name, places.FrontingSet.computeSize(service.floorInstances)]));
+    this.fronting.clear();
+  }
+
   /** Gets the view that was published last. */
   getPublished(): readonly peerTaskMessage.PeerView[] {
     return this.published;
@@ -38,16 +51,16 @@
   }
 
   /**
-   * Lists the names of the fronting set of a service, with this VM if it belongs to it.
+   * Lists the fronting set of a service, with this VM if it belongs to it.
    * @param service - Name of the service.
    */
-  listFronting(service: string): readonly string[] {
+  listFronting(service: string): readonly places.FrontingCandidate[] {
     const known = this.fronting.get(service);
     if (known !== undefined) return known;
     const usable = this.published.filter((peer) => peer.state === 'reachable').map((peer) => peer.identity);
-    const names = this.frontingSet.chooseMembers(service, [this.context.identity, ...usable]).map((member) => member.name);
-    this.fronting.set(service, names);
-    return names;
+    const members = this.frontingSet.chooseMembers<places.FrontingCandidate>(service, [this.context.identity, ...usable], this.sizes.get(service));
+    this.fronting.set(service, members);
+    return members;
   }
 
   /**
