Trim the load history of the upstream stand-in in larger steps

Cause: each change of the load copied the history of five seconds, which bounded the stand-in rather than the process under test.

Change: the history is trimmed when it has doubled.

--- a/packages/standins/src/upstreams/LoadReport.ts
+++ b/packages/standins/src/upstreams/LoadReport.ts
@@ -6,6 +6,8 @@
   readonly lagMs: number;
 }
 
+const LEAST_TRIM_LENGTH = 1_024;
+
 interface Sample {
   readonly atMs: number;
   readonly used: number;
@@ -15,6 +17,8 @@
 export class LoadReport {
   private samples: Sample[] = [{ atMs: 0, used: 0 }];
 
+  private trimAtLength = LEAST_TRIM_LENGTH;
+
   /** @param options - How truthful the report is. */
   constructor(private options: LoadReportOptions) {}
 
@@ -31,8 +35,12 @@
    * @param sample - Time and slots in use.
    */
   record(sample: Sample): void {
+    this.samples.push(sample);
+    if (this.samples.length < this.trimAtLength) return;
     const oldest = this.samples.findLastIndex((past) => past.atMs <= sample.atMs - this.options.lagMs);
-    this.samples = [...this.samples.slice(Math.max(0, oldest)), sample];
+    this.samples = this.samples.slice(Math.max(0, oldest));
+    // Trimming at twice the length keeps the cost of a sample constant.
+    this.trimAtLength = Math.max(LEAST_TRIM_LENGTH, this.samples.length * 2);
   }
 
   /**
