--- a/packages/core/src/vms/PeerInbox.ts
+++ b/packages/core/src/vms/PeerInbox.ts
@@ -1,8 +1,8 @@
-import type * as upstreams from '../upstreams/index.js';
 import type * as dropLog from './DropLog.js';
 import * as envelopeCheck from './EnvelopeCheck.js';
 import type * as partialView from './PartialView.js';
 import type * as peerModule from './Peer.js';
+import type * as peerActions from './PeerActions.js';
 import type * as peerMessage from './PeerMessage.js';
 import type * as reachRelay from './ReachRelay.js';
 import type * as vmContext from './VmContext.js';
@@ -10,21 +10,13 @@
 
 const SAMPLE_LIMIT = 8;
 
-/** What the inbox asks of the `PeerTask` that owns it. */
-export interface PeerInboxOwner {
-  sendExchange(to: vmIdentity.VmIdentity, direction: 'request' | 'reply'): void;
-  sendMessage(to: vmIdentity.VmIdentity, message: peerMessage.PeerMessage): void;
-  recordDrains(notices: readonly upstreams.DrainNotice[], source: 'own' | 'peer'): void;
-  publishView(): void;
-}
-
 /** Options of a `PeerInbox`. */
 export interface PeerInboxOptions {
   readonly context: vmContext.VmContext;
   readonly view: partialView.PartialView;
   readonly drops: dropLog.DropLog;
   readonly reach: reachRelay.ReachRelay;
-  readonly owner: PeerInboxOwner;
+  readonly owner: peerActions.PeerActions;
 }
 
 /** Receives the messages of peers for the `PeerTask`: checks them, updates the view and passes them on. */
@@ -58,23 +50,21 @@
     }
     const kind = message.type === 'exchange' ? 'exchange' : 'other';
     if (peer.recordHeard(envelope.sequence, kind, nowMs) !== 'fresh') return;
-    this.options.reach.takeReached(from).forEach((report) => this.reportReach(report));
+    this.options.reach.reportReached(from);
     this.updatePeer(peer, message);
     this.handleContent(from, message);
-    this.options.owner.publishView();
+    this.options.owner.publishPeer(peer);
   }
 
   /**
-   * Reports the result of a check to the peer that asked for it.
-   * @param report - Result of the check.
+   * Clears the ejections of a peer that is gone, so that they no longer count against the floor.
+   * @param peer - Peer that was replaced or is unreachable.
    */
-  reportReach(report: reachRelay.ReachReport): void {
-    const asker = this.options.view.findPeer(report.asker);
-    if (asker === undefined) return;
-    const { name, incarnation } = report.target;
-    this.options.owner.sendMessage(asker.identity, {
-      type: 'reach-reported', target: name, incarnation, result: report.result,
-    });
+  clearEjections(peer: peerModule.Peer): void {
+    if (peer.ejections === 'none') return;
+    // eslint-disable-next-line no-param-reassign -- the inbox updates the peers of the view that it was given
+    peer.ejections = 'none';
+    this.options.context.mailboxes.upstreams.post({ type: 'peer-ejections', from: peer.identity.name, notices: [] });
   }
 
   private resolveSender(peer: peerModule.Peer, from: vmIdentity.VmIdentity, nowMs: number): 'present' | 'challenger' {
@@ -84,24 +74,24 @@
     const decision = contested ? peer.incarnations.decide(from, nowMs) : 'replace';
     if (decision === 'replace') {
       peer.setIncarnation(from);
+      this.clearEjections(peer);
       return 'present';
     }
     if (decision === 'ask-both') [peer.identity, from].forEach((identity) => this.options.owner.sendExchange(identity, 'request'));
     return 'challenger';
   }
 
-  /* eslint-disable no-param-reassign -- the inbox updates the peers of the view that it was given */
   private updatePeer(peer: peerModule.Peer, message: peerMessage.PeerMessage): void {
-    if (message.type === 'leaving') peer.reported = 'leaving';
+    const nowMs = this.options.context.timers.getNowMs();
+    if (message.type === 'leaving') peer.recordState('leaving', nowMs);
     if (message.type !== 'exchange') return;
-    // An exchange that was sent before the peer began to leave may arrive later; leaving is final for an incarnation.
-    if (peer.reported !== 'leaving') peer.reported = message.state;
+    peer.recordState(message.state, nowMs);
     if (message.ejections.length > 0 || peer.ejections === 'some') {
       this.options.context.mailboxes.upstreams.post({ type: 'peer-ejections', from: peer.identity.name, notices: message.ejections });
     }
+    // eslint-disable-next-line no-param-reassign -- the inbox updates the peers of the view that it was given
     peer.ejections = message.ejections.length > 0 ? 'some' : 'none';
   }
-  /* eslint-enable no-param-reassign */
 
   // Content stands for itself: documents are sealed, drain notices name incarnations, operations name their home.
   private handleContent(from: vmIdentity.VmIdentity, message: peerMessage.PeerMessage): void {
@@ -141,10 +131,10 @@
         });
         break;
       case 'reach-requested':
-        this.beginCheck(from, message.target);
+        this.options.reach.beginCheck(from, message.target);
         break;
       case 'reach-reported':
-        this.applyReport(message);
+        this.options.reach.applyReport(message);
         break;
       case 'operation-forwarded':
         mailboxes.requests.post({
@@ -165,10 +155,10 @@
   }
 
   private handleExchange(from: vmIdentity.VmIdentity, message: peerMessage.PeerExchange): void {
-    const { context, view, owner } = this.options;
+    const { context, owner, reach } = this.options;
     if (message.drains.length > 0) owner.recordDrains(message.drains, 'peer');
     const nowMs = context.timers.getNowMs();
-    message.peers.slice(0, SAMPLE_LIMIT).forEach((identity) => view.addPeer({ ...identity, incarnation: '' }, nowMs));
+    message.peers.slice(0, SAMPLE_LIMIT).forEach((identity) => reach.evaluateSample(identity, nowMs));
     context.mailboxes.configuration.post({
       type: 'peer-document',
       from: from.name,
@@ -178,24 +168,4 @@
     });
     if (message.direction === 'request') owner.sendExchange(from, 'reply');
   }
-
-  private beginCheck(from: vmIdentity.VmIdentity, target: vmIdentity.VmIdentity): void {
-    const { context, view, owner } = this.options;
-    if (target.name === context.identity.name) {
-      this.reportReach({ asker: from.name, target: context.identity, result: 'reached' });
-      return;
-    }
-    const nowMs = context.timers.getNowMs();
-    this.options.reach.addCheck(from.name, target, nowMs);
-    const known = view.findPeer(target.name);
-    known?.recordAsked(nowMs);
-    owner.sendExchange(known?.identity ?? target, 'request');
-  }
-
-  private applyReport(report: Extract<peerMessage.PeerMessage, { type: 'reach-reported' }>): void {
-    const peer = this.options.view.findPeer(report.target);
-    if (peer === undefined || (peer.isHeard() && peer.identity.incarnation !== report.incarnation)) return;
-    peer.reachability.recordReport(report.result, this.options.context.timers.getNowMs());
-    this.options.owner.publishView();
-  }
 }
