Hold first attempts for a preferred slot, and take prefixes from the fronting set

The test fleet declares a floor of 12, so that its check of 12 VMs in a fronting set stays as strict; the smaller sizes have a test of their own.

--- a/packages/core/src/callers/AddressTask.ts
+++ b/packages/core/src/callers/AddressTask.ts
@@ -75,18 +75,24 @@
     const service = this.waiting.get(queryId);
     if (service === undefined) return;
     this.waiting.delete(queryId);
-    const addresses = this.choice.chooseAddresses(this.listFronting(service)).map((member) => ({
+    const members = this.listFronting(service);
+    const addresses = this.choice.chooseAddresses(members).map((member) => ({
       vm: member.name, host: member.host, port: member.port, place: member.place,
     }));
     this.context.outbox.post({
       type: 'address-answer',
       queryId,
       answer: addresses.length === 0 ? { type: 'not-ready' } : {
-        type: 'addresses', service, addresses, validForMs: this.context.addressValidityMs, operationPrefix,
+        type: 'addresses', service, addresses, validForMs: this.context.addressValidityMs, operationPrefix: this.isHomeFor(members) ? operationPrefix : undefined,
       },
     });
   }
 
+  // Operations run at their home VM, so a VM outside the fronting set would send them to instances whose free slots it does not know.
+  private isHomeFor(members: readonly vms.VmIdentity[]): boolean {
+    return members.some((member) => member.name === this.context.identity.name);
+  }
+
   private listFronting(service: string): readonly vms.VmIdentity[] {
     const known = this.fronting.get(service);
     if (known !== undefined) return known;
--- a/packages/core/src/places/FrontingSet.ts
+++ b/packages/core/src/places/FrontingSet.ts
@@ -34,8 +34,8 @@
   }
 
   /**
-   * Computes the number of members for a service. A VM more than instances would have none that it mainly uses,
-   * and its attempts would meet slots that other VMs hold; the floor is a lower bound of the instances that every VM knows.
+   * Computes the number of members for a service. With more VMs than instances some would have none that they mainly use,
+   * and their attempts would meet slots that others hold. The floor is a lower bound of the instances that every VM knows.
    * @param floorInstances - Capacity floor of the service.
    */
   static computeSize(floorInstances: number): number {
@@ -49,7 +49,9 @@
       const score = rendezvousHash.RendezvousHash.computeScore(service, candidate.name);
       const best = places.get(candidate.place);
       if (best === undefined) places.set(candidate.place, [{ candidate, score }]);
-      else if (best.length < MAX_FRONTING_SIZE || score >= best[best.length - 1]!.score) FrontingSet.insertScored(best, { candidate, score });
+      else if (best.length < MAX_FRONTING_SIZE || score >= best[best.length - 1]!.score) {
+        FrontingSet.insertScored(best, { candidate, score });
+      }
     });
     return [...places.values()].flatMap((best) => best.map((scored) => scored.candidate));
   }
--- a/packages/core/src/upstreams/InstanceChooser.ts
+++ b/packages/core/src/upstreams/InstanceChooser.ts
@@ -4,7 +4,7 @@
 const DRAWS = 4;
 
 // Share of attempts that go to any instance, so that every VM keeps some evidence about instances that others prefer.
-const EXPLORATION_SHARE = 0.1;
+const EXPLORATION_SHARE = 0.05;
 
 /** Chooses the instance of an attempt among those in rotation. */
 export class InstanceChooser {
@@ -50,20 +50,22 @@
     return this.instances.some((each) => each.canTake());
   }
 
+  /** Draws whether an attempt goes to the preferred instances first. */
+  shouldPrefer(): boolean {
+    return this.preferred.length > 0 && this.random.drawFraction() >= EXPLORATION_SHARE;
+  }
+
+  /** Counts the slots of the preferred instances at full weight, which free again within a service time. */
+  countPreferredSlots(): number {
+    return this.preferred.reduce((sum, each) => sum + (each.weight < 1 ? 0 : each.getCurrentLimit()), 0);
+  }
+
   /**
-   * Chooses an instance with a slot left.
+   * Chooses a preferred instance with a slot left, or undefined.
    * @param excluded - Names of instances that must not be chosen.
    * @param nowMs - Current time, in milliseconds.
    */
-  choose(excluded: readonly string[], nowMs: number): instance.Instance | 'saturated' | 'none' {
-    if (this.preferred.length > 0 && this.random.drawFraction() >= EXPLORATION_SHARE) {
-      const chosen = this.choosePreferred(excluded, nowMs);
-      if (chosen !== undefined) return chosen;
-    }
-    return this.chooseAny(excluded, nowMs);
-  }
-
-  private choosePreferred(excluded: readonly string[], nowMs: number): instance.Instance | undefined {
+  choosePreferred(excluded: readonly string[], nowMs: number): instance.Instance | undefined {
     const { preferred } = this;
     const start = this.random.drawInteger(preferred.length);
     let best: instance.Instance | undefined;
@@ -79,7 +81,12 @@
     return best;
   }
 
-  private chooseAny(excluded: readonly string[], nowMs: number): instance.Instance | 'saturated' | 'none' {
+  /**
+   * Chooses among all instances in rotation.
+   * @param excluded - Names of instances that must not be chosen.
+   * @param nowMs - Current time, in milliseconds.
+   */
+  chooseAny(excluded: readonly string[], nowMs: number): instance.Instance | 'saturated' | 'none' {
     let first: instance.Instance | undefined;
     for (let draw = 0; draw < DRAWS; draw += 1) {
       const drawn = this.draw();
--- a/packages/core/src/upstreams/UpstreamTask.ts
+++ b/packages/core/src/upstreams/UpstreamTask.ts
@@ -6,6 +6,7 @@
 import type * as drainRecord from './DrainRecord.js';
 import * as evaluationTimer from './EvaluationTimer.js';
 import * as evidenceExchange from './EvidenceExchange.js';
+import * as heldAcquires from './HeldAcquires.js';
 import type * as instance from './Instance.js';
 import type * as instanceChooser from './InstanceChooser.js';
 import type * as instancePreference from './InstancePreference.js';
@@ -55,6 +56,10 @@
 
   private readonly timer: evaluationTimer.EvaluationTimer;
 
+  private readonly held = new heldAcquires.HeldAcquires();
+
+  private holdTimer: 'idle' | 'armed' = 'idle';
+
   private readonly preference: instancePreference.InstancePreference;
 
   private fronting: readonly places.FrontingCandidate[] = [];
@@ -87,6 +92,7 @@
     this.timer.close();
     this.table.clear();
     this.chooser.setInstances([]);
+    this.expireHeld(Infinity);
     // What waits for capacity asks again and learns that there is none.
     this.notifyWaiting();
   }
@@ -131,6 +137,9 @@
       case 'probe-ended':
         this.endProbe(message, nowMs);
         break;
+      case 'held-due':
+        this.expireHeld(nowMs);
+        break;
       case 'fronting':
         this.fronting = message.vms;
         this.updatePreferred();
@@ -160,8 +169,41 @@
   }
 
   private assignInstance(message: Message<'acquire'>, nowMs: number): void {
+    if (!this.chooser.shouldPrefer()) {
+      this.assignChosen(message, this.chooser.chooseAny(message.excluded, nowMs), nowMs);
+      return;
+    }
+    const preferred = this.chooser.choosePreferred(message.excluded, nowMs);
+    // A retry has lost time already, so only first attempts wait.
+    const mayWait = preferred === undefined && message.excluded.length === 0;
+    if (mayWait && this.held.add(message, this.chooser.countPreferredSlots(), nowMs) === 'held') this.startHoldTimer(nowMs);
+    else this.assignChosen(message, preferred ?? this.chooser.chooseAny(message.excluded, nowMs), nowMs);
+  }
+
+  private startHoldTimer(nowMs: number): void {
+    const delayMs = this.held.computeDelayMs(nowMs);
+    if (delayMs === undefined || this.holdTimer === 'armed') return;
+    this.holdTimer = 'armed';
+    this.context.timers.subscribe({ mailbox: this, message: { type: 'held-due' }, delayMs });
+  }
+
+  private releaseHeld(nowMs: number): void {
+    for (let message = this.held.getFirst(); message !== undefined; message = this.held.getFirst()) {
+      const chosen = this.chooser.choosePreferred(message.excluded, nowMs);
+      if (chosen === undefined) return;
+      this.held.removeFirst();
+      this.assignChosen(message, chosen, nowMs);
+    }
+  }
+
+  private expireHeld(nowMs: number): void {
+    this.holdTimer = 'idle';
+    this.held.takeDue(nowMs).forEach((message) => this.assignChosen(message, this.chooser.chooseAny(message.excluded, nowMs), nowMs));
+    this.startHoldTimer(nowMs);
+  }
+
+  private assignChosen(message: Message<'acquire'>, chosen: instance.Instance | 'saturated' | 'none', nowMs: number): void {
     const { attemptId, replyTo } = message;
-    const chosen = this.chooser.choose(message.excluded, nowMs);
     if (typeof chosen === 'string') {
       if (chosen === 'saturated') this.waiting.add(replyTo);
       replyTo.post({ type: 'unavailable', attemptId, cause: chosen });
@@ -186,6 +228,7 @@
     if (observation === 'on-time' || observation === 'late') attempted.limit.recordServed();
     if (this.health.gate.isOpen()) this.recordEvidence(attempted, message, nowMs);
     if (message.drain === 'leaving' || observation === 'draining') this.drainInstance(attempted, nowMs);
+    this.releaseHeld(nowMs);
     this.notifyWaiting();
     this.timer.start(nowMs);
   }
--- a/packages/core/src/upstreams/index.ts
+++ b/packages/core/src/upstreams/index.ts
@@ -9,6 +9,7 @@
 export type * from './EjectionNotice.js';
 export * from './EvidenceGate.js';
 export type * from './EvidenceRow.js';
+export * from './HeldAcquires.js';
 export * from './Instance.js';
 export type * from './InstanceAddress.js';
 export * from './InstanceChooser.js';
--- a/packages/core/src/vms/ViewPublisher.ts
+++ b/packages/core/src/vms/ViewPublisher.ts
@@ -58,7 +58,8 @@
     const known = this.fronting.get(service);
     if (known !== undefined) return known;
     const usable = this.published.filter((peer) => peer.state === 'reachable').map((peer) => peer.identity);
-    const members = this.frontingSet.chooseMembers<places.FrontingCandidate>(service, [this.context.identity, ...usable], this.sizes.get(service));
+    const candidates: readonly places.FrontingCandidate[] = [this.context.identity, ...usable];
+    const members = this.frontingSet.chooseMembers(service, candidates, this.sizes.get(service));
     this.fronting.set(service, members);
     return members;
   }
--- a/packages/core/test/places/FrontingSet.test.ts
+++ b/packages/core/test/places/FrontingSet.test.ts
@@ -25,4 +25,8 @@
     expect(members).toHaveLength(12);
     expect(members.filter((member) => member.place === 'c')).toHaveLength(1);
   });
+
+  vitest.it('is small for a small service (guards against VMs without an instance that they mainly use)', () => {
+    expect([0, 4, 9, 20].map((floor) => core.places.FrontingSet.computeSize(floor))).toEqual([6, 6, 9, 12]);
+  });
 });
--- a/packages/core/test/vms/TestFleet.ts
+++ b/packages/core/test/vms/TestFleet.ts
@@ -53,7 +53,7 @@
       places: ['a', 'b', 'c'].map((name) => ({ name, region: 'r' })),
       services: ['orders', 'desk'].map((name) => ({
         name,
-        floor_instances: 1,
+        floor_instances: 12,
         slots_per_instance: 4,
         connections_per_instance: 10,
         detection: 'cautious' as const,
