Add the demo of both deployments over real processes

Cause: `npm run demo` named a script that did not exist, and nothing ran the built entry binary, the stand-ins and the caller library together.

The upstream stand-in counts the work it took and the runs of each operation by path (`/-/work`).

Before: no demo.

--- /dev/null
+++ b/packages/standins/src/demo/index.ts
@@ -0,0 +1,15 @@
+export type * from './DemoCall.js';
+export * from './DemoClock.js';
+export * from './DemoDeployment.js';
+export * from './DemoFailure.js';
+export * from './DemoLoad.js';
+export * from './DemoPlatform.js';
+export * from './DemoPreset.js';
+export * from './DemoProcess.js';
+export * from './DemoReport.js';
+export * from './DemoScenario.js';
+export * from './DemoUpstream.js';
+export * from './DemoVm.js';
+export * from './DirectCaller.js';
+export * from './FleetWatch.js';
+export * from './ProcessGroup.js';
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,2 +1,3 @@
+export * as demo from './demo/index.js';
 export * as platform from './platform/index.js';
 export * as upstreams from './upstreams/index.js';
--- a/packages/standins/src/upstreams/RunRegister.ts
+++ b/packages/standins/src/upstreams/RunRegister.ts
@@ -1,12 +1,24 @@
 /** State of one request at the stand-in. */
 type RequestState = 'accepted' | 'run' | 'cancelled';
 
+/** Work that an instance took. */
+export interface WorkCounts {
+  /** Requests that took a slot. */
+  readonly started: number;
+  /** Runs of requests with an operation id, by path. */
+  readonly runsByPath: Readonly<Record<string, number>>;
+}
+
 /** Keeps which requests ran, how often each operation ran, and which requests were cancelled. */
 export class RunRegister {
   private readonly states = new Map<string, RequestState>();
 
   private readonly runs = new Map<string, number>();
 
+  private readonly runsByPath = new Map<string, number>();
+
+  private started = 0;
+
   /**
    * Accepts a request, unless it was cancelled before it arrived.
    * @param requestId - Id of the request.
@@ -14,6 +26,7 @@
   accept(requestId: string): 'accepted' | 'cancelled' {
     if (this.states.get(requestId) === 'cancelled') return 'cancelled';
     this.states.set(requestId, 'accepted');
+    this.started += 1;
     return 'accepted';
   }
 
@@ -21,11 +34,15 @@
    * Runs an accepted request, unless it was cancelled meanwhile.
    * @param requestId - Id of the request.
    * @param operationId - Id of its operation, if it has one.
+   * @param path - Path of the request.
    */
-  run(requestId: string, operationId: string | undefined): 'run' | 'cancelled' {
+  run(requestId: string, operationId: string | undefined, path = ''): 'run' | 'cancelled' {
     if (this.states.get(requestId) === 'cancelled') return 'cancelled';
     this.states.set(requestId, 'run');
-    if (operationId !== undefined) this.runs.set(operationId, (this.runs.get(operationId) ?? 0) + 1);
+    if (operationId !== undefined) {
+      RunRegister.increment(this.runs, operationId);
+      RunRegister.increment(this.runsByPath, path);
+    }
     return 'run';
   }
 
@@ -43,4 +60,13 @@
   countRuns(): ReadonlyMap<string, number> {
     return this.runs;
   }
+
+  /** Counts the work that the instance took. */
+  countWork(): WorkCounts {
+    return { started: this.started, runsByPath: Object.fromEntries(this.runsByPath) };
+  }
+
+  private static increment(counts: Map<string, number>, key: string): void {
+    counts.set(key, (counts.get(key) ?? 0) + 1);
+  }
 }
--- a/packages/standins/src/upstreams/StandinControl.ts
+++ b/packages/standins/src/upstreams/StandinControl.ts
@@ -6,7 +6,7 @@
 const DRAIN_STATES: readonly upstreamMode.DrainState[] = ['open', 'announcing', 'refusing'];
 const REPORT_STATES: readonly upstreamMode.ReportState[] = ['exact', 'lagging', 'misleading'];
 
-/** Control endpoint of an `UpstreamStandin`: `/-/mode`, `/-/drain`, `/-/reports` take a word as body, `/-/runs` lists the runs. */
+/** Control endpoint of an `UpstreamStandin`: `/-/mode`, `/-/drain`, `/-/reports` take a word as body, `/-/runs` and `/-/work` count. */
 export class StandinControl {
   /** @param standin - Instance to control. */
   constructor(private readonly standin: upstreamStandin.UpstreamStandin) {}
@@ -18,9 +18,10 @@
    * @param body - Body of the request.
    */
   answer(request: http.IncomingMessage, response: http.ServerResponse, body: string): void {
-    if (request.url === '/-/runs') {
+    if (request.url === '/-/runs' || request.url === '/-/work') {
+      const { register } = this.standin;
       response.setHeader('content-type', 'application/json');
-      response.end(JSON.stringify(Object.fromEntries(this.standin.register.countRuns())));
+      response.end(JSON.stringify(request.url === '/-/runs' ? Object.fromEntries(register.countRuns()) : register.countWork()));
       return;
     }
     response.statusCode = this.apply(request.url ?? '', body.trim()) === 'applied' ? 204 : 400;
--- a/packages/standins/src/upstreams/UpstreamStandin.ts
+++ b/packages/standins/src/upstreams/UpstreamStandin.ts
@@ -134,7 +134,7 @@
     response: http.ServerResponse,
     ids: { readonly runId: string; readonly requestId: string | undefined },
   ): void {
-    if (this.register.run(ids.runId, UpstreamStandin.getHeader(request, 'tamarack-operation-id')) === 'cancelled') {
+    if (this.register.run(ids.runId, UpstreamStandin.getHeader(request, 'tamarack-operation-id'), request.url) === 'cancelled') {
       UpstreamStandin.refuse(response, 'cancelled');
       return;
     }
