--- a/packages/proof/src/callers/CallerFleet.ts
+++ b/packages/proof/src/callers/CallerFleet.ts
@@ -111,7 +111,9 @@
     this.queries.delete(queryId);
     if (query === undefined) return;
     const delayMs = this.options.links.drawStreamDelayMs(machine.endpoint, query.caller.endpoint);
-    if (delayMs !== undefined) this.options.queue.schedule(delayMs, () => query.caller.updateAddresses(query.service, answer));
+    if (delayMs === undefined) return;
+    const { name } = machine.endpoint;
+    this.options.queue.schedule(delayMs, () => query.caller.updateAddresses(query.service, answer, name));
   }
 
   /**
@@ -163,10 +165,10 @@
 
   send(caller: fakeCaller.FakeCaller, record: callRecord.CallRecord, target: callerSurroundings.SendingTarget): void {
     const machine = this.options.machines.get(target.vm);
-    if (machine === undefined || record.state === 'cancelled' || record.state === 'replaced') return;
+    if (machine === undefined || record.state === 'replaced') return;
     this.nextId += 1;
     const open = new sending.Sending({
-      requestId: `s${this.nextId}`, record, vm: target.vm, receivedAtMs: target.receivedAtMs, validUntilMs: target.validUntilMs, caller,
+      requestId: `s${this.nextId}`, record, vm: target.vm, address: target.address, caller,
     });
     const { queue, links: table } = this.options;
     const delayMs = table.drawStreamDelayMs(caller.endpoint, machine.endpoint);
@@ -237,7 +239,10 @@
   }
 
   private readAddress({ options }: sending.Sending): worlds.AddressUse {
-    return { state: options.validUntilMs >= this.getNowMs() ? 'valid' : 'expired', receivedAtMs: options.receivedAtMs };
+    const { address } = options;
+    if (address === undefined) return { state: 'expired', receivedAtMs: 0, issuer: '' };
+    const { receivedAtMs, issuer } = address;
+    return { state: address.validUntilMs >= this.getNowMs() ? 'valid' : 'expired', receivedAtMs, issuer };
   }
 
   private endSending(open: sending.Sending): void {
--- a/packages/proof/src/callers/CallerSurroundings.ts
+++ b/packages/proof/src/callers/CallerSurroundings.ts
@@ -1,13 +1,12 @@
 import type * as callRecord from './CallRecord.js';
 import type * as fakeCaller from './FakeCaller.js';
+import type * as keptAddresses from './KeptAddresses.js';
 
 /** Where a request is sent to. */
 export interface SendingTarget {
   readonly vm: string;
-  /** When the caller got the address answer that named the VM, in milliseconds. */
-  readonly receivedAtMs: number;
-  /** Until when the address answer that named the VM may be used, in milliseconds. */
-  readonly validUntilMs: number;
+  /** Address answer that named the VM. */
+  readonly address: keptAddresses.KeptAddresses | undefined;
   /** Further VMs to try if the connection cannot be opened. */
   readonly tries: number;
 }
--- a/packages/proof/src/callers/FakeCaller.ts
+++ b/packages/proof/src/callers/FakeCaller.ts
@@ -3,6 +3,7 @@
 import type * as links from '../links/index.js';
 import type * as callRecord from './CallRecord.js';
 import type * as callerSurroundings from './CallerSurroundings.js';
+import type * as keptAddresses from './KeptAddresses.js';
 
 // A caller tries this many VMs before it gives a request up.
 const CONNECT_TRIES = 3;
@@ -15,18 +16,11 @@
 // A caller asks for addresses again at most this often.
 const QUERY_PERIOD_MS = 500;
 
-interface KeptAddresses {
-  readonly vms: readonly string[];
-  readonly prefix: string | undefined;
-  readonly receivedAtMs: number;
-  readonly validUntilMs: number;
-}
-
 /** Program of a member that sends requests: keeps address answers, and keeps them through outages. */
 export class FakeCaller {
   readonly endpoint: links.Endpoint;
 
-  private readonly kept = new Map<string, KeptAddresses>();
+  private readonly kept = new Map<string, keptAddresses.KeptAddresses>();
 
   private readonly queriedAtMs = new Map<string, number>();
 
@@ -55,12 +49,14 @@
    * Keeps an address answer.
    * @param service - Service that was asked for.
    * @param answer - Answer of a VM.
+   * @param issuer - VM that gave it.
    */
-  updateAddresses(service: string, answer: core.vms.AddressAnswer): void {
+  updateAddresses(service: string, answer: core.vms.AddressAnswer, issuer: string): void {
     if (answer.type !== 'addresses') return;
     this.kept.set(service, {
       vms: answer.addresses.map((address) => address.vm),
       prefix: answer.operationPrefix,
+      issuer,
       receivedAtMs: this.surroundings.getNowMs(),
       validUntilMs: this.surroundings.getNowMs() + answer.validForMs,
     });
@@ -99,9 +95,7 @@
   retryWithPrefix(record: callRecord.CallRecord, prefix: string): void {
     const followUp = this.surroundings.createFollowUp(record);
     followUp.setOperationId(`${prefix}.${followUp.token}`);
-    this.surroundings.send(this, followUp, {
-      vm: prefix.split('.')[0]!, receivedAtMs: 0, validUntilMs: 0, tries: 0,
-    });
+    this.surroundings.send(this, followUp, { vm: prefix.split('.')[0]!, address: undefined, tries: 0 });
   }
 
   private send(record: callRecord.CallRecord, tries: number): void {
@@ -126,9 +120,7 @@
 
   private sendTo(record: callRecord.CallRecord, vm: string, tries: number): void {
     const kept = this.kept.get(record.service);
-    this.surroundings.send(this, record, {
-      vm, receivedAtMs: kept?.receivedAtMs ?? 0, validUntilMs: kept?.validUntilMs ?? 0, tries,
-    });
+    this.surroundings.send(this, record, { vm, address: kept?.vms.includes(vm) === true ? kept : undefined, tries });
   }
 
   private fetchAddresses(service: string): void {
--- a/packages/proof/src/callers/ScriptedCaller.ts
+++ b/packages/proof/src/callers/ScriptedCaller.ts
@@ -41,11 +41,7 @@
    */
   sendAt(vm: string): void {
     if (this.waiting.length > 0) this.waiting = [...this.waiting, vm];
-    else {
-      this.way.send(this, this.record, {
-        vm, receivedAtMs: 0, validUntilMs: 0, tries: 0,
-      });
-    }
+    else this.way.send(this, this.record, { vm, address: undefined, tries: 0 });
   }
 
   override updateAddresses(_service: string, answer: core.vms.AddressAnswer): void {
--- a/packages/proof/src/callers/Sending.ts
+++ b/packages/proof/src/callers/Sending.ts
@@ -1,5 +1,6 @@
 import type * as callRecord from './CallRecord.js';
 import type * as fakeCaller from './FakeCaller.js';
+import type * as keptAddresses from './KeptAddresses.js';
 
 /** Options of a `Sending`. */
 export interface SendingOptions {
@@ -7,10 +8,8 @@
   readonly caller: fakeCaller.FakeCaller;
   readonly record: callRecord.CallRecord;
   readonly vm: string;
-  /** When the caller got the address answer that named the VM, in milliseconds. */
-  readonly receivedAtMs: number;
-  /** Until when the address answer that named the VM may be used, in milliseconds. */
-  readonly validUntilMs: number;
+  /** Address answer that named the VM. */
+  readonly address: keptAddresses.KeptAddresses | undefined;
 }
 
 /** One sending of a request to one VM. */
--- a/packages/proof/src/promises/ShutdownCheck.ts
+++ b/packages/proof/src/promises/ShutdownCheck.ts
@@ -2,14 +2,19 @@
 import type * as worlds from '../worlds/index.js';
 import * as promiseCheck from './PromiseCheck.js';
 
-// Answers that name a leaving VM after this time come from VMs that cannot know that it leaves.
+// VMs that cannot hear the leaving one may name it to callers for this long.
 const KNOWN_WITHIN_MS = 4_000;
 
+interface Shutdown {
+  readonly fromMs: number;
+  /** VMs that may not know of it, since they were cut off, paused or started during it. */
+  readonly deaf: Set<string>;
+  state: 'stopping' | 'stopped';
+}
+
 /** Checks that a graceful shutdown cuts no request, also none of callers that keep its address. */
 export class ShutdownCheck extends promiseCheck.PromiseCheck {
-  private readonly stopping = new Map<vms.FakeMachine, number>();
-
-  private readonly stopped = new Set<vms.FakeMachine>();
+  private readonly shutdowns = new Map<vms.FakeMachine, Shutdown>();
 
   override handle(event: worlds.WorldEvent): void {
     switch (event.type) {
@@ -17,34 +22,48 @@
         this.updateMachine(event);
         break;
       case 'connection-refused':
-        if (this.stopped.has(event.machine) && this.isKept(event.machine, event.address)) {
+        if (this.shutdowns.get(event.machine)?.state === 'stopped' && this.isKept(event.machine, event.address)) {
           this.recordViolation('P6', `${event.machine.endpoint.name} refused a caller whose address answer was valid`);
         }
         break;
       case 'outcome-told':
-        if (this.isKept(event.machine, event.address) && event.outcome.type === 'not-run' && event.outcome.reason === 'stopping') {
+        if (event.outcome.type === 'not-run' && event.outcome.reason === 'stopping' && this.isKept(event.machine, event.address)) {
           this.recordViolation('P6', `${event.machine.endpoint.name} turned away ${event.record.token} while its address answer was valid`);
         }
         break;
+      case 'tick':
+        this.updateDeaf();
+        break;
       default:
         break;
     }
   }
 
+  // Answers count if they came before the news could spread, or from a VM that had the news.
   private isKept(machine: vms.FakeMachine, address: worlds.AddressUse): boolean {
-    const stoppingMs = this.stopping.get(machine);
-    return stoppingMs !== undefined && address.state === 'valid' && address.receivedAtMs <= stoppingMs + KNOWN_WITHIN_MS;
+    const shutdown = this.shutdowns.get(machine);
+    if (shutdown === undefined || address.state === 'expired') return false;
+    return address.receivedAtMs <= shutdown.fromMs + KNOWN_WITHIN_MS || !shutdown.deaf.has(address.issuer);
+  }
+
+  private updateDeaf(): void {
+    const stopping = [...this.shutdowns].filter(([, shutdown]) => shutdown.state === 'stopping');
+    if (stopping.length === 0) return;
+    const groups = this.view.listGroups();
+    stopping.forEach(([machine, shutdown]) => {
+      const hearing = new Set(groups.find((group) => group.includes(machine)) ?? []);
+      this.view.listMachines().filter((other) => !hearing.has(other)).forEach((other) => shutdown.deaf.add(other.endpoint.name));
+    });
   }
 
   private updateMachine(event: Extract<worlds.WorldEvent, { type: 'machine-changed' }>): void {
     const { machine, change } = event;
-    if (change === 'started' || change === 'killed') {
-      this.stopping.delete(machine);
-      this.stopped.delete(machine);
-    }
-    if (change === 'stopping') this.stopping.set(machine, this.view.getNowMs());
+    this.shutdowns.forEach((shutdown) => shutdown.deaf.add(machine.endpoint.name));
+    if (change === 'started' || change === 'killed') this.shutdowns.delete(machine);
+    if (change === 'stopping') this.shutdowns.set(machine, { fromMs: this.view.getNowMs(), deaf: new Set(), state: 'stopping' });
     if (change !== 'stopped') return;
-    this.stopped.add(machine);
+    const shutdown = this.shutdowns.get(machine);
+    if (shutdown !== undefined) shutdown.state = 'stopped';
     if (event.openRequests > 0) this.recordViolation('P6', `${machine.endpoint.name} stopped with ${event.openRequests} requests in flight`);
   }
 }
--- a/packages/proof/src/worlds/WorldEvent.ts
+++ b/packages/proof/src/worlds/WorldEvent.ts
@@ -9,6 +9,8 @@
   readonly state: 'valid' | 'expired';
   /** When the caller got it, in milliseconds. */
   readonly receivedAtMs: number;
+  /** VM that gave it; empty if there was none. */
+  readonly issuer: string;
 }
 
 /** What happened in a world, told to the checks and meters. */
--- /dev/null
+++ b/packages/proof/test/planted/TrustingInterpreter.ts
@@ -0,0 +1,8 @@
+import * as core from '@tamarackferry/core';
+
+/** Faulty interpreter that takes every answer for its own. */
+export class TrustingInterpreter extends core.callers.AttemptInterpreter {
+  override isOwnAnswer(): boolean {
+    return true;
+  }
+}
--- /dev/null
+++ b/packages/proof/test/planted/UnboundedFloor.ts
@@ -0,0 +1,12 @@
+import * as core from '@tamarackferry/core';
+
+/** Faulty floor that allows every ejection and takes none back. */
+export class UnboundedFloor extends core.upstreams.CapacityFloor {
+  override canEject(): boolean {
+    return true;
+  }
+
+  override listExcess(): readonly core.upstreams.Instance[] {
+    return [];
+  }
+}
--- a/packages/proof/test/promises/PromiseChecks.test.ts
+++ b/packages/proof/test/promises/PromiseChecks.test.ts
@@ -26,10 +26,10 @@
     execution.handle({ type: 'run-begun', instance, record });
     record.recordRun();
     execution.handle({
-      type: 'outcome-told', machine, record, address: { state: 'valid', receivedAtMs: 0 }, outcome: { type: 'not-run', reason: 'overloaded', retryAfterMs: 0 },
+      type: 'outcome-told', machine, record, address: { state: 'valid', receivedAtMs: 0, issuer: '' }, outcome: { type: 'not-run', reason: 'overloaded', retryAfterMs: 0 },
     });
     response.handle({
-      type: 'outcome-told', machine, record, address: { state: 'valid', receivedAtMs: 0 }, outcome: { type: 'answered', answer: { status: 200, headers: [], body: Buffer.from('o2.') } },
+      type: 'outcome-told', machine, record, address: { state: 'valid', receivedAtMs: 0, issuer: '' }, outcome: { type: 'answered', answer: { status: 200, headers: [], body: Buffer.from('o2.') } },
     });
     vitest.expect(listPromises(execution)).toEqual(['P4', 'P3']);
     vitest.expect(listPromises(response)).toEqual(['P2']);
