--- a/packages/caller/src/links/VmExchange.ts
+++ b/packages/caller/src/links/VmExchange.ts
@@ -17,7 +17,8 @@
 }
 
 /** How a request to one VM ended. */
-export type VmReply = | { readonly type: 'replied'; readonly status: number; readonly headers: ReadonlyMap<string, string>; readonly body: Buffer }
+export type VmReply =
+  | { readonly type: 'replied'; readonly status: number; readonly headers: ReadonlyMap<string, string>; readonly body: Buffer }
   /** No byte of the request was written. */
   | { readonly type: 'refused'; readonly cause: VmFailureCause }
   /** Bytes were written, and no whole answer came. */
--- a/packages/caller/src/vms/AddressBook.ts
+++ b/packages/caller/src/vms/AddressBook.ts
@@ -15,7 +15,8 @@
 type ReadResult = neverthrow.Result<vmAddress.AddressSet, addressReader.AddressFailure>;
 
 /** Message to the `AddressBook`. */
-export type AddressMessage = | { readonly type: 'lookup'; readonly service: string; readonly replyTo: core.tasks.Mailbox<vmAddress.AddressSet | undefined> }
+export type AddressMessage =
+  | { readonly type: 'lookup'; readonly service: string; readonly replyTo: core.tasks.Mailbox<vmAddress.AddressSet | undefined> }
   | { readonly type: 'refresh-due'; readonly service: string }
   | { readonly type: 'read-ended'; readonly service: string; readonly untried: readonly vmAddress.VmAddress[]; readonly result: ReadResult }
   | { readonly type: 'failed'; readonly address: vmAddress.VmAddress };
--- a/packages/entry/src/callers/ListenerMessage.ts
+++ b/packages/entry/src/callers/ListenerMessage.ts
@@ -1,13 +1,14 @@
 import type * as core from '@tamarackferry/core';
 
 /** Part of an answer that is streamed to its caller. */
-export type StreamMessage = | {
-  readonly type: 'stream-started';
-  readonly requestId: string;
-  readonly attemptId: string;
-  readonly status: number;
-  readonly headers: readonly (readonly [string, string])[];
-}
+export type StreamMessage =
+  | {
+    readonly type: 'stream-started';
+    readonly requestId: string;
+    readonly attemptId: string;
+    readonly status: number;
+    readonly headers: readonly (readonly [string, string])[];
+  }
   | { readonly type: 'stream-data'; readonly requestId: string; readonly data: Uint8Array }
   | { readonly type: 'stream-ended'; readonly requestId: string }
   /** The upstream's answer broke off. */
--- a/packages/entry/src/callers/ListenerRefusal.ts
+++ b/packages/entry/src/callers/ListenerRefusal.ts
@@ -1,5 +1,6 @@
 /** Reason why the listener refuses a request before the VM sees it. */
-export type ListenerRefusalReason = | 'malformed-request'
+export type ListenerRefusalReason =
+  | 'malformed-request'
   | 'header-too-large'
   | 'request-timeout'
   | 'body-too-large'
--- a/packages/entry/src/upstreams/Exchange.ts
+++ b/packages/entry/src/upstreams/Exchange.ts
@@ -61,8 +61,8 @@
     });
     this.connection.dispatch(options.request, {
       onRequestStart: (controller) => this.handleStart(controller),
-      onResponseStart: (_, status, fields) => {
-        if (status >= 200) this.reader.readHead(status, fields);
+      onResponseStart: (controller, status) => {
+        if (status >= 200) this.reader.readHead(status, (controller.rawHeaders ?? []) as Buffer[]);
       },
       onResponseData: (_, chunk) => {
         if (this.state === 'open') this.handleData(chunk);
@@ -115,11 +115,16 @@
   }
 
   private handleStart(controller: undici.Dispatcher.DispatchController): void {
-    if (this.controller === undefined && this.state === 'open') {
+    // An exchange that ended as refused was reported as not sent, so nothing of it may be written now.
+    if (this.state === 'ended') {
+      controller.abort(new undici.errors.RequestAbortedError());
+      return;
+    }
+    if (this.controller === undefined) {
       this.controller = controller;
       return;
     }
-    // After a `refused` nothing may be written, and a repetition by undici after a connection error could run an operation twice.
+    // A repetition by undici after a connection error could run an operation twice.
     controller.abort(new undici.errors.RequestAbortedError());
     this.end('reset');
   }
--- a/packages/entry/test/vms/TestDeployment.ts
+++ b/packages/entry/test/vms/TestDeployment.ts
@@ -24,6 +24,8 @@
       answer_digest: answerDigest,
       kinds: [{
         name: 'status', method: 'GET', path_prefix: '/status', repeatability: 'idempotent', priority: 'interactive', weight: 1, deadline_ms: 5_000, on_time_ms: 500,
+      }, {
+        name: 'order', method: 'POST', path_prefix: '/order', repeatability: 'non-idempotent', priority: 'interactive', weight: 1, deadline_ms: 5_000, on_time_ms: 500,
       }],
     }],
     members: [{
--- a/packages/standins/src/upstreams/UpstreamMode.ts
+++ b/packages/standins/src/upstreams/UpstreamMode.ts
@@ -10,7 +10,8 @@
  * - `silent`: runs, never answers.
  * - `resetting`: runs, then closes the connection.
  */
-export type UpstreamMode = | 'prompt' | 'slow' | 'late' | 'failing' | 'truncated' | 'crossed' | 'flapping' | 'silent' | 'resetting';
+export type UpstreamMode =
+  | 'prompt' | 'slow' | 'late' | 'failing' | 'truncated' | 'crossed' | 'flapping' | 'silent' | 'resetting';
 
 /** All modes. */
 export const UPSTREAM_MODES: readonly UpstreamMode[] = [
