--- a/packages/entry/test/upstreams/UpstreamConnections.test.ts
+++ b/packages/entry/test/upstreams/UpstreamConnections.test.ts
@@ -58,7 +58,7 @@
         service: 'orders', method: 'GET', path: options.path ?? '/status', headers: [], body: Buffer.alloc(0), digest: '', member: 'museum', deadlineMs: undefined, operationId: options.operationId,
       },
       timeoutMs: options.timeoutMs ?? 20_000,
-      deadlineMs: 20_000,
+      deadlineMs: options.timeoutMs ?? 20_000,
     });
     return attemptId;
   }
