Count hedge losers as evidence and respect the doubts of peers at the floor

An ejection on old evidence broke the floor of kassa, since the VM had no evidence of its own about an instance that other VMs already suspected. Change: a cancelled attempt older than 1.25 times the 95th percentile counts as timed out; instances that a peer asked about in the last 3 s do not count for the floor when an ejection is decided.

--- a/packages/core/src/callers/AttemptDispatcher.ts
+++ b/packages/core/src/callers/AttemptDispatcher.ts
@@ -87,6 +87,7 @@
       else if (request.attempts.length === 0) this.ender.endRequest(request, request.toNotRun('deadline-exceeded'));
     } else {
       queue.recordDispatch(nowMs);
+      attempt.markSent(nowMs, reply.hedgeAfterMs);
       this.sendAttempt(attempt, reply.instance, nowMs);
       this.scheduleHedge(request, reply.hedgeAfterMs);
     }
@@ -214,7 +215,6 @@
   private sendAttempt(attempt: attemptInProgress.AttemptInProgress, instance: upstreams.InstanceAddress, nowMs: number): void {
     const { request } = attempt;
     if (request.requestClass === undefined) return;
-    attempt.markSent(nowMs);
     request.addTried(instance.name);
     const deadlineMs = request.deadlineAtMs - nowMs;
     this.context.outbox.post({
--- a/packages/core/src/callers/AttemptInProgress.ts
+++ b/packages/core/src/callers/AttemptInProgress.ts
@@ -2,6 +2,10 @@
 import type * as attemptVerdict from './AttemptVerdict.js';
 import type * as requestInProgress from './RequestInProgress.js';
 
+// The hedge of an attempt usually answers later than this, so the attempt that it beats counts against its instance.
+// Without it an instance that never answers idempotent requests left no evidence, since every attempt was cancelled in time.
+const SLOW_FACTOR = 1.25;
+
 /** One try of a request at one instance, from `acquire` to `observed`. */
 export class AttemptInProgress {
   /** `released`: its request has ended or prefers another attempt; the result is dropped. */
@@ -12,6 +16,9 @@
 
   sentAtMs: number | undefined;
 
+  /** Time after which an attempt that is cancelled counts as silent, in milliseconds. */
+  slowAfterMs = Infinity;
+
   /** What a released attempt says about its instance if no answer follows. */
   releasedAs: upstreams.Observation = 'withdrawn';
 
@@ -29,9 +36,11 @@
   /**
    * Marks that the attempt was sent to its instance.
    * @param nowMs - Monotonic time in milliseconds.
+   * @param hedgeAfterMs - 95th percentile of the latency of the service, in milliseconds.
    */
-  markSent(nowMs: number): void {
+  markSent(nowMs: number, hedgeAfterMs: number): void {
     this.state = 'sent';
+    this.slowAfterMs = hedgeAfterMs * SLOW_FACTOR;
     this.sentAtMs = nowMs;
   }
 
--- a/packages/core/src/callers/AttemptTable.ts
+++ b/packages/core/src/callers/AttemptTable.ts
@@ -99,7 +99,8 @@
     if (attempt.state === 'sent') {
       this.context.outbox.post({ type: 'cancel-attempt', attemptId: attempt.attemptId });
       const onTimeMs = attempt.request.requestClass?.kind.onTimeMs ?? Infinity;
-      attempt.markReleased(this.computeElapsedMs(attempt) >= onTimeMs ? 'timed-out' : 'withdrawn');
+      const slowMs = Math.min(onTimeMs, attempt.slowAfterMs);
+      attempt.markReleased(this.computeElapsedMs(attempt) >= slowMs ? 'timed-out' : 'withdrawn');
       return;
     }
     attempt.markReleased('withdrawn');
--- a/packages/core/src/upstreams/CapacityFloor.ts
+++ b/packages/core/src/upstreams/CapacityFloor.ts
@@ -1,10 +1,13 @@
 import type * as instance from './Instance.js';
+import type * as peerDoubts from './PeerDoubts.js';
 import type * as peerEjections from './PeerEjections.js';
 
 /** State that the floor of a service is checked against. */
 export interface FloorView {
   readonly instances: readonly instance.Instance[];
   readonly peers: peerEjections.PeerEjections;
+  /** Suspicions of peers; this VM may have too little evidence of its own about an instance that others prefer. */
+  readonly doubts: peerDoubts.PeerDoubts;
   readonly floorInstances: number;
 }
 
@@ -15,7 +18,7 @@
    * @param view - Instances, ejections of peers, and floor.
    */
   countRemaining(view: FloorView): number {
-    return view.instances.filter((each) => this.isRemaining(each, view.peers)).length;
+    return view.instances.filter((each) => this.isRemaining(each, view)).length;
   }
 
   /**
@@ -24,8 +27,9 @@
    * @param view - Instances, ejections of peers, and floor.
    */
   canEject(candidate: instance.Instance, view: FloorView): boolean {
-    const own = this.isRemaining(candidate, view.peers) ? 1 : 0;
-    return this.countRemaining(view) - own >= this.getFloor(view);
+    // A peer's doubt forbids to count on an instance, but is too weak to end an ejection that was made before.
+    const others = view.instances.filter((each) => each !== candidate && this.isRemaining(each, view));
+    return others.filter((each) => !view.doubts.has(each.address.name)).length >= this.getFloor(view);
   }
 
   /**
@@ -45,8 +49,8 @@
     return Math.max(1, view.floorInstances);
   }
 
-  private isRemaining(each: instance.Instance, peers: peerEjections.PeerEjections): boolean {
+  private isRemaining(each: instance.Instance, view: FloorView): boolean {
     return each.listing === 'listed' && each.state === 'live' && each.warmth === 'warm' && each.ejection.getState() === 'in-service'
-      && each.suspicion === 'none' && each.link === 'good' && peers.count(each.address.name) === 0;
+      && each.suspicion === 'none' && each.link === 'good' && view.peers.count(each.address.name) === 0;
   }
 }
--- a/packages/core/src/upstreams/PoolHealth.ts
+++ b/packages/core/src/upstreams/PoolHealth.ts
@@ -5,6 +5,7 @@
 import type * as detectionPolicy from './DetectionPolicy.js';
 import type * as evidenceGate from './EvidenceGate.js';
 import type * as instance from './Instance.js';
+import * as peerDoubts from './PeerDoubts.js';
 import * as peerEjections from './PeerEjections.js';
 import type * as peerEvidence from './PeerEvidence.js';
 import type * as poolBaseline from './PoolBaseline.js';
@@ -49,6 +50,8 @@
 
   readonly peerEjections = new peerEjections.PeerEjections();
 
+  readonly peerDoubts = new peerDoubts.PeerDoubts();
+
   readonly probes: probeSchedule.ProbeSchedule;
 
   private readonly options: PoolHealthOptions;
@@ -97,7 +100,7 @@
    * @param nowMs - Current time, in milliseconds.
    */
   checkFloor(instances: readonly instance.Instance[], nowMs: number): void {
-    const excess = this.floor.listExcess({ instances, peers: this.peerEjections, floorInstances: this.contract.floorInstances });
+    const excess = this.floor.listExcess(this.buildFloorView(instances));
     if (excess.length === 0) return;
     excess.forEach((each) => this.reinstate(each, nowMs));
     this.holdUntilMs = nowMs + HOLD_MIN_MS + this.options.random.drawInteger(HOLD_SPREAD_MS);
@@ -112,6 +115,7 @@
   evaluate(instances: readonly instance.Instance[], nowMs: number, elapsedMs: number): void {
     this.peerEvidence.expire(nowMs);
     this.peerEjections.expire(nowMs);
+    this.peerDoubts.expire(nowMs);
     instances.forEach((each) => {
       each.setRamp(this.slowStart.computeRamp(each.coldSinceMs, nowMs));
       each.ejection.expire(nowMs);
@@ -187,7 +191,7 @@
 
   private ejectProven(instances: readonly instance.Instance[], known: readonly suspicion.Suspicion[], nowMs: number): void {
     if (!this.gate.isOpen() || nowMs < this.holdUntilMs) return;
-    const view = { instances, peers: this.peerEjections, floorInstances: this.contract.floorInstances };
+    const view = this.buildFloorView(instances);
     instances.map((each, index) => ({ each, known: known[index]! }))
       .filter((candidate) => candidate.each.isInRotation() && this.policy.decide(candidate.known) === 'eject')
       .sort((left, right) => right.known.score - left.known.score)
@@ -199,6 +203,12 @@
       });
   }
 
+  private buildFloorView(instances: readonly instance.Instance[]): capacityFloor.FloorView {
+    return {
+      instances, peers: this.peerEjections, doubts: this.peerDoubts, floorInstances: this.contract.floorInstances,
+    };
+  }
+
   private reinstate(each: instance.Instance, nowMs: number): void {
     const trialScore = this.policy.computeTrialScore(Math.max(1, each.ejection.getCount()));
     each.ejection.reinstate(nowMs, trialScore === undefined ? 'in-service' : 'trial');
--- a/packages/core/src/upstreams/UpstreamTask.ts
+++ b/packages/core/src/upstreams/UpstreamTask.ts
@@ -284,6 +284,7 @@
   }
 
   private reportEvidence(message: Message<'evidence-requested'>, nowMs: number): void {
+    this.health.peerDoubts.record(message.instances, nowMs);
     if (!this.health.gate.isOpen()) return;
     const instances = message.instances.flatMap((name) => this.table.get(name) ?? []);
     this.announcer.reportEvidence(message.from, this.exchange.listRows(message.from, instances, nowMs));
--- a/packages/core/src/upstreams/index.ts
+++ b/packages/core/src/upstreams/index.ts
@@ -18,6 +18,7 @@
 export * from './NoEjectionPolicy.js';
 export type * from './Observation.js';
 export * from './OutlierPercentagePolicy.js';
+export * from './PeerDoubts.js';
 export * from './PeerEjections.js';
 export * from './PeerEvidence.js';
 export * from './PoolBaseline.js';
--- a/packages/proof/src/callers/ScriptedCaller.ts
+++ b/packages/proof/src/callers/ScriptedCaller.ts
@@ -1,6 +1,6 @@
 import type * as core from '@tamarackferry/core';
 
-import type * as callRecord from './CallRecord.js';
+import * as callRecord from './CallRecord.js';
 import type * as callerSurroundings from './CallerSurroundings.js';
 import * as fakeCaller from './FakeCaller.js';
 
@@ -32,7 +32,9 @@
       return;
     }
     this.waiting = [...this.waiting, vm];
-    this.way.fetchAddresses(this, home, this.record.service);
+    // A request without an id is not run; its rejection carries the prefix of the VM that it reached.
+    const rejected = new callRecord.CallRecord(`${this.record.token}-prefix`, this.record.options);
+    this.way.send(this, rejected, { vm: home, address: undefined, tries: 0 });
   }
 
   /**
@@ -44,17 +46,16 @@
     else this.way.send(this, this.record, { vm, address: undefined, tries: 0 });
   }
 
-  override updateAddresses(_service: string, answer: core.vms.AddressAnswer): void {
-    if (answer.type !== 'addresses' || answer.operationPrefix === undefined) return;
-    this.record.setOperationId(`${answer.operationPrefix}.${this.record.token}`);
-    const { waiting } = this;
-    this.waiting = [];
-    waiting.forEach((vm) => this.sendAt(vm));
-  }
+  override updateAddresses(): void {}
 
   override retryConnection(): void {}
 
   override retryReset(): void {}
 
-  override retryWithPrefix(): void {}
+  override retryWithPrefix(_rejected: callRecord.CallRecord, prefix: string): void {
+    this.record.setOperationId(`${prefix}.${this.record.token}`);
+    const { waiting } = this;
+    this.waiting = [];
+    waiting.forEach((vm) => this.sendAt(vm));
+  }
 }
