Add the replay command of the operators' program

Cause: anyone is to check the promises with traces of their own, from the installed program. Change: tamarackferry replay FILE... runs the replay of the proof package.

--- a/packages/operator/src/commands/index.ts
+++ b/packages/operator/src/commands/index.ts
@@ -2,4 +2,5 @@
 export * from './Command.js';
 export * from './ConsoleCommand.js';
 export * from './KeysCommand.js';
+export * from './ReplayCommand.js';
 export * from './StatusCommand.js';
--- a/packages/operator/src/main.ts
+++ b/packages/operator/src/main.ts
@@ -46,6 +46,10 @@
       if (options.platform === undefined) process.exitCode = 2;
       else run(new commands.StatusCommand({ platformUrl: options.platform, format: options.json === true ? 'json' : 'text', output: OUTPUT }));
     });
+  cli.command('replay [...files]', 'Replay traces against the decisions and show which stated outcomes are met')
+    .option('--json', 'Print one JSON object a file')
+    .action((files: string[], options: { json?: boolean }) => (
+      run(new commands.ReplayCommand({ files, format: options.json === true ? 'json' : 'text', output: OUTPUT }))));
   cli.command('', 'Show help').action(() => {
     cli.outputHelp();
     process.exitCode = 2;
