--- a/packages/standins/src/demo/DemoPreset.ts
+++ b/packages/standins/src/demo/DemoPreset.ts
@@ -45,9 +45,10 @@
   /**
    * Reads a preset.
    * @param name - Name of the preset.
+   * @param directory - Directory of the file `NAME.toml`; the one of this package if not given.
    */
-  static readPreset(name: string): neverthrow.Result<DemoPreset, demoFailure.DemoFailure> {
-    return neverthrow.fromThrowable(() => fs.readFileSync(path.join(DIRECTORY, `${name}.toml`), 'utf8'), () => 'the file cannot be read')()
+  static readPreset(name: string, directory = DIRECTORY): neverthrow.Result<DemoPreset, demoFailure.DemoFailure> {
+    return neverthrow.fromThrowable(() => fs.readFileSync(path.join(directory, `${name}.toml`), 'utf8'), () => 'the file cannot be read')()
       .andThen((text) => READER.read(text).mapErr(core.contracts.TomlReader.describeFailure))
       .mapErr((detail): demoFailure.DemoFailure => ({ type: 'preset-invalid', preset: name, detail }))
       .map((fields) => new DemoPreset(fields));
