--- a/packages/core/src/upstreams/PoolHealth.ts
+++ b/packages/core/src/upstreams/PoolHealth.ts
@@ -70,6 +70,8 @@
 
   private holdUntilMs = -Infinity;
 
+  private standing: 'fronting' | 'outside' = 'fronting';
+
   /** @param options - Rules, contract and surroundings. */
   constructor(options: PoolHealthOptions) {
     const { rules, contract } = options;
@@ -94,6 +96,15 @@
     this.contract = contract;
   }
 
+  /**
+   * Sets whether this VM belongs to the fronting set of the service. Outside of it a VM hears no doubts of the others and
+   * sees too few attempts to know which instances would remain, so it steers but ejects nothing.
+   * @param standing - Where this VM stands.
+   */
+  setStanding(standing: 'fronting' | 'outside'): void {
+    this.standing = standing;
+  }
+
   /**
    * Reinstates ejected instances while the floor is not met. To be called whenever the instances or ejections change.
    * @param instances - All instances of the service.
@@ -190,7 +201,7 @@
   }
 
   private ejectProven(instances: readonly instance.Instance[], known: readonly suspicion.Suspicion[], nowMs: number): void {
-    if (!this.gate.isOpen() || nowMs < this.holdUntilMs) return;
+    if (!this.gate.isOpen() || this.standing === 'outside' || nowMs < this.holdUntilMs) return;
     const view = this.buildFloorView(instances);
     instances.map((each, index) => ({ each, known: known[index]! }))
       .filter((candidate) => candidate.each.isInRotation() && this.policy.decide(candidate.known) === 'eject')
--- a/packages/core/src/upstreams/UpstreamTask.ts
+++ b/packages/core/src/upstreams/UpstreamTask.ts
@@ -141,8 +141,7 @@
         this.expireHeld(nowMs);
         break;
       case 'fronting':
-        this.fronting = message.vms;
-        this.updatePreferred();
+        this.applyFronting(message.vms);
         break;
       case 'evidence-requested':
         this.reportEvidence(message, nowMs);
@@ -250,6 +249,12 @@
     this.updateRotation(nowMs);
   }
 
+  private applyFronting(members: readonly places.FrontingCandidate[]): void {
+    this.fronting = members;
+    this.health.setStanding(members.some((member) => member.name === this.context.identity.name) ? 'fronting' : 'outside');
+    this.updatePreferred();
+  }
+
   private updatePreferred(): void {
     const addresses = this.table.list().map((each) => each.address);
     this.chooser.setPreferred(this.preference.listPreferred(this.context.identity.name, this.fronting, addresses));
