--- a/packages/core/src/upstreams/PromptDetectionPolicy.ts
+++ b/packages/core/src/upstreams/PromptDetectionPolicy.ts
@@ -1,9 +1,10 @@
 import * as evidencePolicy from './EvidencePolicy.js';
 import type * as suspicion from './Suspicion.js';
 
-const EJECT_SCORE = 6;
+// Steering alone brings an instance down to its trial share, so an ejection can wait for evidence that chance rarely gives.
+const EJECT_SCORE = 9;
 
-const EJECT_SCORE_ALONE = 8;
+const EJECT_SCORE_ALONE = 12;
 
 // Time for the replies of peers.
 const REPLY_WAIT_MS = 500;
