Report false ejections in the demo

Cause: the demo counted ejections without telling which instances they took out of service, and counted one again after a status page that could not be read.

Change: ejections carry the name of the instance and are compared with the last page of the same incarnation; the report adds the ejections of instances that were not gray.

--- a/packages/standins/src/demo/DemoReport.ts
+++ b/packages/standins/src/demo/DemoReport.ts
@@ -10,7 +10,9 @@
   readonly runs: ReadonlyMap<string, number>;
   /** Latencies of reads that were also sent to an instance directly, by their paths. */
   readonly directLatenciesMs: ReadonlyMap<string, number>;
-  readonly ejections: number;
+  /** Names of the ejected instances, once for each ejection at each VM. */
+  readonly ejections: readonly string[];
+  readonly grayInstance: string;
   readonly breaches: readonly string[];
   readonly versions: readonly number[];
   readonly expectedVersion: number;
@@ -33,6 +35,8 @@
   /** Requests without an answer, by outcome and reason. */
   readonly unansweredReasons: Readonly<Record<string, number>>;
   readonly ejections: number;
+  /** Ejections of instances that were not gray. */
+  readonly falseEjections: number;
   readonly floorBreaches: number;
   readonly configurationVersionsInForce: readonly number[];
   /** Requests that drained instances took after the bound. */
@@ -82,7 +86,8 @@
       duplicates: sum(this.observations.map(({ runs }) => [...runs.values()].filter((count) => count > 1).length)),
       falseNotRun: this.countOperations('not-run', (runs) => runs > 0),
       unansweredReasons: DemoReport.countReasons(calls),
-      ejections: sum(this.observations.map((each) => each.ejections)),
+      ejections: sum(this.observations.map((each) => each.ejections.length)),
+      falseEjections: sum(this.observations.map((each) => each.ejections.filter((name) => name !== each.grayInstance).length)),
       floorBreaches: sum(this.observations.map((each) => each.breaches.length)),
       configurationVersionsInForce: [...new Set(this.observations.flatMap((each) => each.versions))].sort(),
       lateDrainWork: sum(this.observations.map((each) => each.lateDrainWork ?? 0)),
--- a/packages/standins/src/demo/DemoScenario.ts
+++ b/packages/standins/src/demo/DemoScenario.ts
@@ -80,6 +80,7 @@
       directLatenciesMs: this.direct.getLatenciesMs(),
       versions: await deployment.listVersions(),
       expectedVersion: EXPECTED_VERSION,
+      grayInstance: this.getGray().options.name,
       lateDrainWork: await this.countLateWork(drainedWork),
     });
   }
@@ -90,8 +91,12 @@
     await Promise.all([this.load.close(), this.direct.close()]);
   }
 
+  private getGray(): demoUpstream.DemoUpstream {
+    return this.options.deployment.upstreams[0]!;
+  }
+
   private async setGray(): Promise<void> {
-    const gray = this.options.deployment.upstreams[0]!;
+    const gray = this.getGray();
     const mode = this.options.preset.getGrayMode();
     this.report('upstreams', `${gray.options.name} turns gray, mode ${mode}`);
     await gray.setMode(mode);
--- a/packages/standins/src/demo/FleetWatch.ts
+++ b/packages/standins/src/demo/FleetWatch.ts
@@ -20,8 +20,8 @@
 
 /** What the status pages showed during a run. */
 export interface WatchResult {
-  /** Ejections, counted once for each VM. */
-  readonly ejections: number;
+  /** Names of the ejected instances, once for each ejection at each VM. */
+  readonly ejections: readonly string[];
   /** Descriptions of the floor breaches. */
   readonly breaches: readonly string[];
 }
@@ -42,9 +42,10 @@
 
 /** Polls the status pages of the entry processes and checks ejections against the floors. */
 export class FleetWatch extends core.tasks.Task<WatchMessage> {
-  private ejected: ReadonlySet<string> = new Set();
+  // Ejected instances at the last status page of each incarnation of a VM.
+  private readonly ejected = new Map<string, ReadonlySet<string>>();
 
-  private ejections = 0;
+  private readonly ejections: string[] = [];
 
   private readonly breaches = new Set<string>();
 
@@ -69,7 +70,7 @@
   /** Stops polling and gets what was seen. */
   stop(): WatchResult {
     this.timer?.cancel();
-    return { ejections: this.ejections, breaches: [...this.breaches] };
+    return { ejections: [...this.ejections], breaches: [...this.breaches] };
   }
 
   /** @internal */
@@ -95,10 +96,7 @@
   }
 
   private checkStatuses(statuses: readonly core.vms.VmStatus[]): void {
-    const ejected = new Set(statuses.flatMap(({ identity, upstreams }) => upstreams.flatMap((status) => (
-      listEjected(status).map((name) => `${identity.name}.${identity.incarnation} ${name}`)))));
-    this.ejections += [...ejected].filter((key) => !this.ejected.has(key)).length;
-    this.ejected = ejected;
+    statuses.forEach(({ identity, upstreams }) => this.recordEjections(identity, upstreams.flatMap(listEjected)));
     statuses.forEach(({ identity, upstreams }) => upstreams.forEach((status) => {
       const breach = describeBreach(status.instances, new Set(listEjected(status)), status.floorInstances);
       if (breach !== undefined) this.breaches.add(`${identity.name} ${status.service}: ${breach}`);
@@ -106,6 +104,12 @@
     this.checkUnions(statuses);
   }
 
+  private recordEjections({ name, incarnation }: core.vms.VmIdentity, ejected: readonly string[]): void {
+    const before = this.ejected.get(`${name}.${incarnation}`);
+    this.ejected.set(`${name}.${incarnation}`, new Set(ejected));
+    this.ejections.push(...ejected.filter((instance) => before?.has(instance) !== true));
+  }
+
   private checkUnions(statuses: readonly core.vms.VmStatus[]): void {
     const nowMs = this.options.timers.getNowMs();
     const all = statuses.flatMap((status) => status.upstreams);
--- a/packages/standins/test/demo/DemoReport.test.ts
+++ b/packages/standins/test/demo/DemoReport.test.ts
@@ -22,7 +22,8 @@
   calls: [...Array.from({ length: 10 }, () => ANSWERED), NOT_RUN],
   runs: new Map([['/order/1', 1]]),
   directLatenciesMs: new Map([['/order/1', 3]]),
-  ejections: 0,
+  ejections: ['orders-1', 'orders-2'],
+  grayInstance: 'orders-1',
   breaches: [],
   versions: [2],
   expectedVersion: 2,
@@ -38,7 +39,10 @@
   vitest.it('accepts a run in which every outcome held (guards against checks that nothing can meet)', () => {
     vitest.expect(listBroken({})).toEqual([]);
     const figures = new standins.demo.DemoReport([GOOD]).computeFigures();
-    vitest.expect(figures).toMatchObject({ requests: 11, answered: 10, addedLatencyMs: { p50: 2 } });
+    vitest.expect(figures).toMatchObject({
+      requests: 11, answered: 10, ejections: 2, falseEjections: 1,
+    });
+    vitest.expect(figures.addedLatencyMs.p50).toBe(2);
   });
 
   vitest.it.each<[string, Partial<standins.demo.DemoObservations>]>([
--- a/packages/standins/test/demo/FleetWatch.test.ts
+++ b/packages/standins/test/demo/FleetWatch.test.ts
@@ -29,7 +29,7 @@
 vitest.describe('FleetWatch', () => {
   vitest.it('counts each ejection once (guards against figures that grow with the polls)', () => {
     const one: readonly State[] = ['ejected', 'in-service', 'in-service'];
-    vitest.expect(watchStates(one, one, ['trial', 'in-service', 'in-service'], one)).toEqual({ ejections: 2, breaches: [] });
+    vitest.expect(watchStates(one, one, ['trial', 'in-service', 'in-service'], one)).toEqual({ ejections: ['orders-0', 'orders-0'], breaches: [] });
   });
 
   vitest.it('reports ejections that leave less than the floor (guards against a missed breach)', () => {
