--- a/packages/proof/src/bench/index.ts
+++ b/packages/proof/src/bench/index.ts
@@ -1,4 +1,6 @@
 export * from './FleetFixture.js';
 export * from './FleetSize.js';
+export * from './LatencyBench.js';
 export * from './MeasuredVm.js';
+export * from './ProcessCost.js';
 export * from './SlopeBench.js';
--- a/packages/standins/src/demo/DemoProcess.ts
+++ b/packages/standins/src/demo/DemoProcess.ts
@@ -81,6 +81,11 @@
     return this.state === 'running';
   }
 
+  /** Gets the id of the process; 0 if it could not be started. */
+  getPid(): number {
+    return this.child.pid ?? 0;
+  }
+
   /** Gets the end of the standard error stream. */
   getLog(): string {
     return this.log;
