Split the assignment of instances from the upstream task

Change: InstanceAssigner owns the choice, the held acquires and the attempts in flight; unions laid out as elsewhere.

--- a/packages/core/src/callers/RequestInProgress.ts
+++ b/packages/core/src/callers/RequestInProgress.ts
@@ -6,7 +6,8 @@
 import type * as requestClassifier from './RequestClassifier.js';
 
 /** Where a request came from and where its outcome goes. */
-export type RequestOrigin = | { readonly type: 'caller' }
+export type RequestOrigin =
+  | { readonly type: 'caller' }
   | { readonly type: 'peer'; readonly from: string; readonly forwardId: string };
 
 /** Options of a `RequestInProgress`. */
--- a/packages/core/src/contracts/OperationLedger.ts
+++ b/packages/core/src/contracts/OperationLedger.ts
@@ -7,7 +7,8 @@
 const ISSUING_OCCUPANCY = 0.9;
 
 /** Decision about a request of an operation whose home is this VM. */
-export type LedgerDecision = | { readonly type: 'run' }
+export type LedgerDecision =
+  | { readonly type: 'run' }
   | { readonly type: 'joined' }
   | { readonly type: 'settled'; readonly outcome: outcome.Outcome };
 
--- a/packages/core/src/upstreams/UpstreamTask.ts
+++ b/packages/core/src/upstreams/UpstreamTask.ts
@@ -6,12 +6,9 @@
 import type * as drainRecord from './DrainRecord.js';
 import * as evaluationTimer from './EvaluationTimer.js';
 import * as evidenceExchange from './EvidenceExchange.js';
-import * as heldAcquires from './HeldAcquires.js';
 import type * as instance from './Instance.js';
-import type * as instanceChooser from './InstanceChooser.js';
-import type * as instancePreference from './InstancePreference.js';
+import * as instanceAssigner from './InstanceAssigner.js';
 import * as instanceTable from './InstanceTable.js';
-import * as latencySamples from './LatencySamples.js';
 import * as poolHealth from './PoolHealth.js';
 import * as upstreamAnnouncer from './UpstreamAnnouncer.js';
 import type * as upstreamMessage from './UpstreamMessage.js';
@@ -21,8 +18,6 @@
 // The fronting set follows the view of the peers; each request of it is a lookup in a map.
 const FRONTING_PERIOD_MS = 1_000;
 
-type Requester = Message<'acquire'>['replyTo'];
-
 /** Options of an `UpstreamTask`. */
 export interface UpstreamTaskOptions {
   readonly context: vms.VmContext;
@@ -39,35 +34,18 @@
 
   private readonly table: instanceTable.InstanceTable;
 
-  private readonly chooser: instanceChooser.InstanceChooser;
+  private readonly assigner: instanceAssigner.InstanceAssigner;
 
   private readonly health: poolHealth.PoolHealth;
 
   private readonly exchange = new evidenceExchange.EvidenceExchange();
 
-  private readonly latencies = new latencySamples.LatencySamples();
-
-  private readonly attempts = new Map<string, instance.Instance>();
-
-  // Requesters that were told `saturated`.
-  private readonly waiting = new Set<Requester>();
-
   private readonly announcer: upstreamAnnouncer.UpstreamAnnouncer;
 
   private readonly timer: evaluationTimer.EvaluationTimer;
 
-  private readonly held = new heldAcquires.HeldAcquires();
-
-  private holdTimer: 'idle' | 'armed' = 'idle';
-
-  private readonly preference: instancePreference.InstancePreference;
-
-  private fronting: readonly places.FrontingCandidate[] = [];
-
   private frontingAskedAtMs = -Infinity;
 
-  private lifecycle: 'running' | 'stopped' = 'running';
-
   /** @param options - Surroundings and contract of the service. */
   constructor(options: UpstreamTaskOptions) {
     super(options.context.scheduler);
@@ -77,8 +55,7 @@
     this.contract = contract;
     this.drains = rules.createDrainRecord();
     this.table = new instanceTable.InstanceTable({ drains: this.drains, trust: rules.createListTrust(), contract });
-    this.chooser = rules.createChooser(context.random);
-    this.preference = rules.createPreference();
+    this.assigner = new instanceAssigner.InstanceAssigner({ context, service: contract.name, mailbox: this });
     this.health = new poolHealth.PoolHealth({
       rules, contract, place: context.identity.place, random: context.random,
     });
@@ -88,13 +65,9 @@
 
   /** Ends the subscriptions of the task when its service is no longer declared. */
   stop(): void {
-    this.lifecycle = 'stopped';
     this.timer.close();
     this.table.clear();
-    this.chooser.setInstances([]);
-    this.expireHeld(Infinity);
-    // What waits for capacity asks again and learns that there is none.
-    this.notifyWaiting();
+    this.assigner.close();
   }
 
   /** Lists the incarnations that are known to leave, for a later task of the same service. */
@@ -117,7 +90,8 @@
     const nowMs = this.context.timers.getNowMs();
     switch (message.type) {
       case 'acquire':
-        this.assignInstance(message, nowMs);
+        this.assigner.acquire(message, nowMs);
+        this.timer.start(nowMs);
         break;
       case 'observed':
         this.endAttempt(message, nowMs);
@@ -138,7 +112,8 @@
         this.endProbe(message, nowMs);
         break;
       case 'held-due':
-        this.expireHeld(nowMs);
+        this.assigner.expireHeld(nowMs);
+        this.timer.start(nowMs);
         break;
       case 'fronting':
         this.applyFronting(message.vms);
@@ -167,59 +142,9 @@
     }
   }
 
-  private assignInstance(message: Message<'acquire'>, nowMs: number): void {
-    if (!this.chooser.shouldPrefer()) {
-      this.assignChosen(message, this.chooser.chooseAny(message.excluded, nowMs), nowMs);
-      return;
-    }
-    const preferred = this.chooser.choosePreferred(message.excluded, nowMs);
-    // A retry has lost time already, so only first attempts wait.
-    const mayWait = preferred === undefined && message.excluded.length === 0;
-    if (mayWait && this.held.add(message, this.chooser.countPreferredSlots(), nowMs) === 'held') this.startHoldTimer(nowMs);
-    else this.assignChosen(message, preferred ?? this.chooser.chooseAny(message.excluded, nowMs), nowMs);
-  }
-
-  private startHoldTimer(nowMs: number): void {
-    const delayMs = this.held.computeDelayMs(nowMs);
-    if (delayMs === undefined || this.holdTimer === 'armed') return;
-    this.holdTimer = 'armed';
-    this.context.timers.subscribe({ mailbox: this, message: { type: 'held-due' }, delayMs });
-  }
-
-  private releaseHeld(nowMs: number): void {
-    for (let message = this.held.getFirst(); message !== undefined; message = this.held.getFirst()) {
-      const chosen = this.chooser.choosePreferred(message.excluded, nowMs);
-      if (chosen === undefined) return;
-      this.held.removeFirst();
-      this.assignChosen(message, chosen, nowMs);
-    }
-  }
-
-  private expireHeld(nowMs: number): void {
-    this.holdTimer = 'idle';
-    this.held.takeDue(nowMs).forEach((message) => this.assignChosen(message, this.chooser.chooseAny(message.excluded, nowMs), nowMs));
-    this.startHoldTimer(nowMs);
-  }
-
-  private assignChosen(message: Message<'acquire'>, chosen: instance.Instance | 'saturated' | 'none', nowMs: number): void {
-    const { attemptId, replyTo } = message;
-    if (typeof chosen === 'string') {
-      if (chosen === 'saturated') this.waiting.add(replyTo);
-      replyTo.post({ type: 'unavailable', attemptId, cause: chosen });
-      return;
-    }
-    chosen.takeSlot();
-    this.attempts.set(attemptId, chosen);
-    replyTo.post({
-      type: 'assigned', attemptId, instance: chosen.address, hedgeAfterMs: this.latencies.getHedgeAfterMs(),
-    });
-    this.timer.start(nowMs);
-  }
-
   private endAttempt(message: Message<'observed'>, nowMs: number): void {
-    const attempted = this.attempts.get(message.attemptId);
+    const attempted = this.assigner.takeAttempt(message.attemptId);
     if (attempted === undefined) return;
-    this.attempts.delete(message.attemptId);
     if (message.load !== undefined) attempted.load.record(message.load, attempted.inFlight, nowMs);
     attempted.releaseSlot();
     const { observation } = message;
@@ -227,8 +152,7 @@
     if (observation === 'on-time' || observation === 'late') attempted.limit.recordServed();
     if (this.health.gate.isOpen()) this.recordEvidence(attempted, message, nowMs);
     if (message.drain === 'leaving' || observation === 'draining') this.drainInstance(attempted, nowMs);
-    this.releaseHeld(nowMs);
-    this.notifyWaiting();
+    this.assigner.releaseSlots(nowMs);
     this.timer.start(nowMs);
   }
 
@@ -237,7 +161,7 @@
     attempted.evidence.record(observation, latencyMs);
     if (observation !== 'on-time' && observation !== 'late') return;
     attempted.recordServed(latencyMs, nowMs);
-    this.latencies.record(latencyMs);
+    this.assigner.latencies.record(latencyMs);
   }
 
   private applyList(message: Message<'list'>, nowMs: number): void {
@@ -245,19 +169,13 @@
     this.applyDrains(leaving.map((entry) => ({
       service: this.contract.name, instance: entry.name, incarnation: entry.incarnation,
     })), nowMs);
-    this.updatePreferred();
+    this.assigner.applyPreference(this.table.list());
     this.updateRotation(nowMs);
   }
 
   private applyFronting(members: readonly places.FrontingCandidate[]): void {
-    this.fronting = members;
     this.health.setStanding(members.some((member) => member.name === this.context.identity.name) ? 'fronting' : 'outside');
-    this.updatePreferred();
-  }
-
-  private updatePreferred(): void {
-    const addresses = this.table.list().map((each) => each.address);
-    this.chooser.setPreferred(this.preference.listPreferred(this.context.identity.name, this.fronting, addresses));
+    this.assigner.applyPreference(this.table.list(), members);
   }
 
   private requestFronting(nowMs: number): void {
@@ -285,7 +203,7 @@
     const { result } = message;
     if (result.type === 'healthy' && result.load !== undefined) probed.load.record(result.load, probed.inFlight, nowMs);
     if (result.type === 'draining') this.drainInstance(probed, nowMs);
-    this.notifyWaiting();
+    this.assigner.releaseSlots(nowMs);
   }
 
   private reportEvidence(message: Message<'evidence-requested'>, nowMs: number): void {
@@ -300,7 +218,7 @@
     const { elapsedMs, timeliness } = this.timer.finish(nowMs);
     if (timeliness === 'late') this.table.list().forEach((each) => each.evidence.removePending());
     this.table.expire(nowMs);
-    this.latencies.update();
+    this.assigner.latencies.update();
     this.health.evaluate(this.table.list(), nowMs, elapsedMs);
     this.updateRotation(nowMs);
     const doubted = this.table.list().filter((each) => each.state === 'live'
@@ -314,16 +232,8 @@
   // Called after every change of instances, drains, ejections or weights.
   private updateRotation(nowMs: number): void {
     this.health.checkFloor(this.table.list(), nowMs);
-    this.chooser.setInstances(this.table.list());
+    this.assigner.applyInstances(this.table.list());
     this.announcer.announceEjections(this.table.list());
-    this.notifyWaiting();
-    if (this.attempts.size > 0 || this.table.list().some((each) => each.needsEvaluation())) this.timer.start(nowMs);
-  }
-
-  private notifyWaiting(): void {
-    if (this.waiting.size === 0 || (this.lifecycle === 'running' && !this.chooser.hasCapacity())) return;
-    const waiting = [...this.waiting];
-    this.waiting.clear();
-    waiting.forEach((requester) => requester.post({ type: 'capacity-freed', service: this.contract.name }));
+    if (this.assigner.hasAttempts() || this.table.list().some((each) => each.needsEvaluation())) this.timer.start(nowMs);
   }
 }
--- a/packages/core/src/upstreams/index.ts
+++ b/packages/core/src/upstreams/index.ts
@@ -12,6 +12,7 @@
 export * from './HeldAcquires.js';
 export * from './Instance.js';
 export type * from './InstanceAddress.js';
+export * from './InstanceAssigner.js';
 export * from './InstanceChooser.js';
 export * from './InstancePreference.js';
 export * from './ListTrust.js';
--- a/packages/proof/src/traces/Trace.ts
+++ b/packages/proof/src/traces/Trace.ts
@@ -4,7 +4,8 @@
 import type * as worlds from '../worlds/index.js';
 
 /** Outcome that a trace states. */
-export type Expectation = | { readonly type: 'runs'; readonly name: string; readonly atMost: number }
+export type Expectation =
+  | { readonly type: 'runs'; readonly name: string; readonly atMost: number }
   | {
     readonly type: 'told' | 'never-told';
     readonly name: string;
--- a/packages/proof/src/worlds/WorldAction.ts
+++ b/packages/proof/src/worlds/WorldAction.ts
@@ -5,19 +5,20 @@
 export type GrayModeName = 'failing' | 'slow' | 'truncated' | 'crossed' | 'late' | 'silent';
 
 /** What a trace, a fuzzer or a measurement does to a world. */
-export type WorldAction = | {
-  readonly type: 'request';
-  readonly name: string;
-  readonly member: string;
-  readonly service: string;
-  readonly kind: string;
-  /** VM that issues the operation id. */
-  readonly home: string;
-  /** VM that the request is sent to. */
-  readonly via: string;
-  /** Earlier request whose operation id is used again with another body. */
-  readonly sameIdAs: string | undefined;
-}
+export type WorldAction =
+  | {
+    readonly type: 'request';
+    readonly name: string;
+    readonly member: string;
+    readonly service: string;
+    readonly kind: string;
+    /** VM that issues the operation id. */
+    readonly home: string;
+    /** VM that the request is sent to. */
+    readonly via: string;
+    /** Earlier request whose operation id is used again with another body. */
+    readonly sameIdAs: string | undefined;
+  }
   | { readonly type: 'repeat'; readonly name: string; readonly via: string }
   | { readonly type: 'cancel'; readonly name: string }
   /** Scales all loads. */
--- a/packages/proof/src/worlds/WorldEvent.ts
+++ b/packages/proof/src/worlds/WorldEvent.ts
@@ -14,7 +14,8 @@
 }
 
 /** What happened in a world, told to the checks and meters. */
-export type WorldEvent = | { readonly type: 'request-begun'; readonly record: callers.CallRecord }
+export type WorldEvent =
+  | { readonly type: 'request-begun'; readonly record: callers.CallRecord }
   | {
     readonly type: 'attempt-sent';
     readonly machine: vms.FakeMachine;
