Use standard names for the drain notices of peers and the calls of the proof

Cause: DrainBoard and CallBook were figurative names. Change: DrainNoticeStore and CallRegistry. Conclusion: the names say what the classes hold.

--- a/packages/core/src/vms/DrainBoard.ts
+++ b/packages/core/src/vms/DrainNoticeStore.ts
@@ -14,7 +14,7 @@
 }
 
 /** Keeps the drain notices that this VM has learned, by service, instance and incarnation. */
-export class DrainBoard {
+export class DrainNoticeStore {
   // In the order in which the notices were learned.
   private readonly kept = new Map<string, KeptNotice>();
 
--- a/packages/core/src/vms/ExchangeBuilder.ts
+++ b/packages/core/src/vms/ExchangeBuilder.ts
@@ -1,6 +1,6 @@
 import type * as contracts from '../contracts/index.js';
 import type * as upstreams from '../upstreams/index.js';
-import type * as drainBoard from './DrainBoard.js';
+import type * as drainNoticeStore from './DrainNoticeStore.js';
 import type * as partialView from './PartialView.js';
 import type * as peerMessage from './PeerMessage.js';
 import type * as vmIdentity from './VmIdentity.js';
@@ -12,7 +12,7 @@
 /** Options of an `ExchangeBuilder`. */
 export interface ExchangeBuilderOptions {
   readonly view: partialView.PartialView;
-  readonly drains: drainBoard.DrainBoard;
+  readonly drains: drainNoticeStore.DrainNoticeStore;
 }
 
 /** State of this VM that an exchange names. */
--- a/packages/core/src/vms/PeerRules.ts
+++ b/packages/core/src/vms/PeerRules.ts
@@ -1,5 +1,5 @@
 import * as links from '../links/index.js';
-import * as drainBoard from './DrainBoard.js';
+import * as drainNoticeStore from './DrainNoticeStore.js';
 import * as incarnationRule from './IncarnationRule.js';
 
 /** Creates the rules that the `PeerTask` decides by. A subclass replaces single rules. */
@@ -20,7 +20,7 @@
   }
 
   /** Creates the record of the instances that leave. */
-  createDrainBoard(): drainBoard.DrainBoard {
-    return new drainBoard.DrainBoard();
+  createDrainNoticeStore(): drainNoticeStore.DrainNoticeStore {
+    return new drainNoticeStore.DrainNoticeStore();
   }
 }
--- a/packages/core/src/vms/PeerTask.ts
+++ b/packages/core/src/vms/PeerTask.ts
@@ -1,6 +1,6 @@
 import * as tasks from '../tasks/index.js';
 import type * as upstreams from '../upstreams/index.js';
-import type * as drainBoard from './DrainBoard.js';
+import type * as drainNoticeStore from './DrainNoticeStore.js';
 import * as dropLog from './DropLog.js';
 import * as exchangeBuilder from './ExchangeBuilder.js';
 import * as exchangeSchedule from './ExchangeSchedule.js';
@@ -41,7 +41,7 @@
 
   private readonly drops: dropLog.DropLog;
 
-  private readonly drains: drainBoard.DrainBoard;
+  private readonly drains: drainNoticeStore.DrainNoticeStore;
 
   private readonly reach: reachRelay.ReachRelay;
 
@@ -79,7 +79,7 @@
     this.view = new partialView.PartialView({ identity, random, rules });
     this.sender = new peerSender.PeerSender(context);
     this.drops = new dropLog.DropLog(context);
-    this.drains = rules.createDrainBoard();
+    this.drains = rules.createDrainNoticeStore();
     this.exchanges = new exchangeBuilder.ExchangeBuilder({ view: this.view, drains: this.drains });
     this.watch = new reachabilityWatch.ReachabilityWatch({ view: this.view, sender: this.sender, random });
     this.schedule = new exchangeSchedule.ExchangeSchedule(random);
--- a/packages/core/src/vms/index.ts
+++ b/packages/core/src/vms/index.ts
@@ -1,4 +1,4 @@
-export * from './DrainBoard.js';
+export * from './DrainNoticeStore.js';
 export * from './DropLog.js';
 export * from './EnvelopeCheck.js';
 export * from './ExchangeBuilder.js';
--- a/packages/core/test/vms/CountingDrainBoard.ts
+++ b/packages/core/test/vms/CountingDrainNoticeStore.ts
@@ -1,8 +1,8 @@
 import * as core from '@tamarackferry/core';
 
 /** Drain board that records which boards have learned a notice. */
-export class CountingDrainBoard extends core.vms.DrainBoard {
-  constructor(protected readonly learned: Set<core.vms.DrainBoard>) {
+export class CountingDrainNoticeStore extends core.vms.DrainNoticeStore {
+  constructor(protected readonly learned: Set<core.vms.DrainNoticeStore>) {
     super();
   }
 
--- a/packages/core/test/vms/PeerTask.test.ts
+++ b/packages/core/test/vms/PeerTask.test.ts
@@ -3,9 +3,9 @@
 import * as vitest from 'vitest';
 
 import * as lonelyReachabilityCheck from '../links/LonelyReachabilityCheck.js';
-import * as countingDrainBoard from './CountingDrainBoard.js';
+import * as countingDrainNoticeStore from './CountingDrainNoticeStore.js';
 import * as hastyIncarnationRule from './HastyIncarnationRule.js';
-import * as silentDrainBoard from './SilentDrainBoard.js';
+import * as silentDrainNoticeStore from './SilentDrainNoticeStore.js';
 import * as testFleet from './TestFleet.js';
 
 const { TestFleet } = testFleet;
@@ -18,9 +18,9 @@
 const NOTICE = { service: 'orders', instance: 'orders-1', incarnation: 'i1' };
 
 function countDrainNews(faulty: 'faulty' | 'correct', seed: number): number {
-  const learned = new Set<core.vms.DrainBoard>();
-  const Board = faulty === 'faulty' ? silentDrainBoard.SilentDrainBoard : countingDrainBoard.CountingDrainBoard;
-  const fleet = TestFleet.start(48, seed, buildRules({ createDrainBoard: () => new Board(learned) }));
+  const learned = new Set<core.vms.DrainNoticeStore>();
+  const Board = faulty === 'faulty' ? silentDrainNoticeStore.SilentDrainNoticeStore : countingDrainNoticeStore.CountingDrainNoticeStore;
+  const fleet = TestFleet.start(48, seed, buildRules({ createDrainNoticeStore: () => new Board(learned) }));
   fleet.faults.loss = 0.3;
   fleet.faults.duplication = 0.2;
   fleet.send(fleet.nodes[0]!.identity, {
--- a/packages/core/test/vms/SilentDrainBoard.ts
+++ b/packages/core/test/vms/SilentDrainNoticeStore.ts
@@ -1,9 +1,9 @@
 import type * as core from '@tamarackferry/core';
 
-import * as countingDrainBoard from './CountingDrainBoard.js';
+import * as countingDrainNoticeStore from './CountingDrainNoticeStore.js';
 
 /** Faulty drain board: it learns notices and passes none on. */
-export class SilentDrainBoard extends countingDrainBoard.CountingDrainBoard {
+export class SilentDrainNoticeStore extends countingDrainNoticeStore.CountingDrainNoticeStore {
   override addNotices(notices: readonly core.upstreams.DrainNotice[], nowMs: number): core.upstreams.DrainNotice[] {
     return super.addNotices(notices, nowMs).slice(0, 0);
   }
--- a/packages/proof/src/callers/CallBook.ts
+++ b/packages/proof/src/callers/CallRegistry.ts
@@ -4,7 +4,7 @@
 const KEPT_MS = 60_000;
 
 /** Record of all requests of the fake callers. */
-export class CallBook {
+export class CallRegistry {
   private readonly records = new Map<string, callRecord.CallRecord>();
 
   private readonly operations = new Map<string, callRecord.CallRecord>();
--- a/packages/proof/src/callers/CallerFleet.ts
+++ b/packages/proof/src/callers/CallerFleet.ts
@@ -4,7 +4,7 @@
 import type * as links from '../links/index.js';
 import type * as vms from '../vms/index.js';
 import type * as worlds from '../worlds/index.js';
-import type * as callBook from './CallBook.js';
+import type * as callRegistry from './CallRegistry.js';
 import type * as callRecord from './CallRecord.js';
 import type * as callerSurroundings from './CallerSurroundings.js';
 import * as fakeCaller from './FakeCaller.js';
@@ -27,7 +27,7 @@
   readonly queue: worlds.EventQueue;
   readonly links: links.LinkTable;
   readonly random: core.randomness.RandomSource;
-  readonly book: callBook.CallBook;
+  readonly book: callRegistry.CallRegistry;
   readonly machines: ReadonlyMap<string, vms.FakeMachine>;
   readonly observer: core.tasks.Mailbox<worlds.WorldEvent>;
 }
--- a/packages/proof/src/callers/LoadGenerator.ts
+++ b/packages/proof/src/callers/LoadGenerator.ts
@@ -2,7 +2,7 @@
 
 import type * as contracts from '../contracts/index.js';
 import type * as worlds from '../worlds/index.js';
-import type * as callBook from './CallBook.js';
+import type * as callRegistry from './CallRegistry.js';
 import type * as callerFleet from './CallerFleet.js';
 
 const LEAST_PER_SECOND = 0.001;
@@ -12,7 +12,7 @@
   readonly plan: contracts.DeploymentPlan;
   readonly queue: worlds.EventQueue;
   readonly random: core.randomness.RandomSource;
-  readonly book: callBook.CallBook;
+  readonly book: callRegistry.CallRegistry;
   readonly callers: callerFleet.CallerFleet;
   readonly observer: core.tasks.Mailbox<worlds.WorldEvent>;
 }
--- a/packages/proof/src/callers/index.ts
+++ b/packages/proof/src/callers/index.ts
@@ -1,4 +1,4 @@
-export * from './CallBook.js';
+export * from './CallRegistry.js';
 export type * from './CallRecord.js';
 export * from './CallerFleet.js';
 export type * from './CallerSurroundings.js';
--- a/packages/proof/src/worlds/OutputRouter.ts
+++ b/packages/proof/src/worlds/OutputRouter.ts
@@ -14,7 +14,7 @@
   readonly peers: links.PeerNetwork;
   readonly platform: platform.FakePlatform;
   readonly instances: ReadonlyMap<string, upstreams.FakeInstance>;
-  readonly book: callers.CallBook;
+  readonly book: callers.CallRegistry;
   readonly observer: core.tasks.Mailbox<worldEvent.WorldEvent>;
   /** Called after a log line about upstreams; ejections are logged. */
   readonly onUpstreamLog: (machine: vms.FakeMachine) => void;
--- a/packages/proof/src/worlds/ProofWorld.ts
+++ b/packages/proof/src/worlds/ProofWorld.ts
@@ -40,7 +40,7 @@
 
   readonly loads: callers.LoadGenerator;
 
-  readonly book = new callers.CallBook();
+  readonly book = new callers.CallRegistry();
 
   readonly documents: contracts.DocumentWriter;
 
