Move the system timer service to the core package

Cause: the caller library needs a timer service, but the only real one stood in the entry package. Change: core.time.SystemTimerService; the entry package has no time folder any more. Conclusion: a caller application needs the core and caller packages only.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -58,7 +58,7 @@
       'no-restricted-properties': ['error', { object: 'Math', property: 'random', message: 'Use the random source.' }],
     },
   },
-  { files: ['packages/core/src/time/**', 'packages/entry/src/time/**'], rules: { 'no-restricted-globals': 'off' } },
+  { files: ['packages/core/src/time/**'], rules: { 'no-restricted-globals': 'off' } },
   {
     files: ['packages/operator/assets/*.js'],
     languageOptions: {
--- a/packages/caller/test/callers/CallerClient.test.ts
+++ b/packages/caller/test/callers/CallerClient.test.ts
@@ -1,6 +1,5 @@
 import * as caller from '@tamarackferry/caller';
 import * as core from '@tamarackferry/core';
-import * as entry from '@tamarackferry/entry';
 import * as vitest from 'vitest';
 
 import * as vmStandin from './VmStandin.js';
@@ -21,7 +20,7 @@
       seeds: seeds.map((vm) => ({ host: '127.0.0.1', port: vm.port })),
       member: 'museum',
       memberKey: 'secret',
-      timers: new entry.time.SystemTimerService(),
+      timers: new core.time.SystemTimerService(),
       random: new core.randomness.SeededRandomSource(1),
     });
     opened.push(client);
--- a/packages/entry/src/time/SystemTimerService.ts
+++ b/packages/core/src/time/SystemTimerService.ts
@@ -1,12 +1,14 @@
-import * as core from '@tamarackferry/core';
+import type * as timerOptions from './TimerOptions.js';
+import * as timerService from './TimerService.js';
+import type * as timerSubscription from './TimerSubscription.js';
 
 /** Timer service on the monotonic clock of the process. */
-export class SystemTimerService extends core.time.TimerService {
+export class SystemTimerService extends timerService.TimerService {
   override getNowMs(): number {
     return performance.now();
   }
 
-  override subscribe<Message>(options: core.time.TimerOptions<Message>): core.time.TimerSubscription {
+  override subscribe<Message>(options: timerOptions.TimerOptions<Message>): timerSubscription.TimerSubscription {
     const fire = (): void => options.mailbox.post(options.message);
     if (options.periodMs === undefined) {
       // Node treats longer delays as 1 ms.
--- a/packages/core/src/time/index.ts
+++ b/packages/core/src/time/index.ts
@@ -1,3 +1,4 @@
+export * from './SystemTimerService.js';
 export type * from './TimerOptions.js';
 export * from './TimerService.js';
 export type * from './TimerSubscription.js';
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -2,6 +2,5 @@
 export * as links from './links/index.js';
 export * as metrics from './metrics/index.js';
 export * as platform from './platform/index.js';
-export * as time from './time/index.js';
 export * as upstreams from './upstreams/index.js';
 export * as vms from './vms/index.js';
--- a/packages/entry/src/time/index.ts
+++ /dev/null
@@ -1,1 +0,0 @@
-export * from './SystemTimerService.js';
--- a/packages/entry/src/vms/EntryProcess.ts
+++ b/packages/entry/src/vms/EntryProcess.ts
@@ -6,7 +6,6 @@
 import * as links from '../links/index.js';
 import * as metrics from '../metrics/index.js';
 import * as platform from '../platform/index.js';
-import * as time from '../time/index.js';
 import * as upstreams from '../upstreams/index.js';
 import * as entrySettings from './EntrySettings.js';
 import * as processLog from './ProcessLog.js';
@@ -43,7 +42,7 @@
 
   private readonly parts: ProcessParts;
 
-  private readonly timers = new time.SystemTimerService();
+  private readonly timers = new core.time.SystemTimerService();
 
   private readonly random = new core.randomness.SeededRandomSource(crypto.randomInt(2 ** 31));
 
--- a/packages/entry/test/callers/CallerListener.test.ts
+++ b/packages/entry/test/callers/CallerListener.test.ts
@@ -14,7 +14,7 @@
   port: 0,
   limits: LIMITS,
   scheduler: new core.tasks.TaskScheduler(),
-  timers: new entry.time.SystemTimerService(),
+  timers: new core.time.SystemTimerService(),
   random: new core.randomness.SeededRandomSource(1),
 };
 
--- a/packages/entry/test/links/PeerConnections.test.ts
+++ b/packages/entry/test/links/PeerConnections.test.ts
@@ -41,7 +41,7 @@
 
   function createConnections(transport: entry.links.PeerTransport = new entry.links.TrpcPeerTransport()): entry.links.PeerConnections {
     return new entry.links.PeerConnections({
-      scheduler: new core.tasks.TaskScheduler(), timers: new entry.time.SystemTimerService(), transport, vm,
+      scheduler: new core.tasks.TaskScheduler(), timers: new core.time.SystemTimerService(), transport, vm,
     });
   }
 
--- a/packages/entry/test/platform/PlatformWatcher.test.ts
+++ b/packages/entry/test/platform/PlatformWatcher.test.ts
@@ -12,7 +12,7 @@
   return new entry.platform.PlatformWatcher({
     source: new entry.platform.HttpPlatformSource(url),
     scheduler: new core.tasks.TaskScheduler(),
-    timers: new entry.time.SystemTimerService(),
+    timers: new core.time.SystemTimerService(),
     random: new core.randomness.SeededRandomSource(1),
     vm,
     onChange: (text) => lines.push(text),
--- a/packages/entry/test/upstreams/UpstreamConnections.test.ts
+++ b/packages/entry/test/upstreams/UpstreamConnections.test.ts
@@ -94,7 +94,7 @@
     vm.messages.length = 0;
     listener.messages.length = 0;
     connections = new entry.upstreams.UpstreamConnections({
-      scheduler: new core.tasks.TaskScheduler(), timers: new entry.time.SystemTimerService(), vm, listener,
+      scheduler: new core.tasks.TaskScheduler(), timers: new core.time.SystemTimerService(), vm, listener,
     });
   });
 
--- a/packages/entry/test/vms/EntryProcess.test.ts
+++ b/packages/entry/test/vms/EntryProcess.test.ts
@@ -85,7 +85,7 @@
     const client = new caller.callers.CallerClient({
       seeds: vms.map((vm) => ({ host: '127.0.0.1', port: vm.port })),
       member: 'museum',
-      timers: new entry.time.SystemTimerService(),
+      timers: new core.time.SystemTimerService(),
       random: new core.randomness.SeededRandomSource(1),
     });
     const outcomes: string[] = [];
--- a/packages/standins/src/demo/DemoClock.ts
+++ b/packages/standins/src/demo/DemoClock.ts
@@ -1,5 +1,4 @@
-import type * as core from '@tamarackferry/core';
-import * as entry from '@tamarackferry/entry';
+import * as core from '@tamarackferry/core';
 import * as neverthrow from 'neverthrow';
 
 import type * as demoFailure from './DemoFailure.js';
@@ -10,7 +9,7 @@
 
 /** Waits for times and conditions on the timer service. */
 export class DemoClock {
-  readonly timers: core.time.TimerService = new entry.time.SystemTimerService();
+  readonly timers: core.time.TimerService = new core.time.SystemTimerService();
 
   /**
    * Waits for a time.
--- a/packages/standins/src/platform/PlatformStandin.ts
+++ b/packages/standins/src/platform/PlatformStandin.ts
@@ -1,7 +1,6 @@
 import * as http from 'node:http';
 import type * as net from 'node:net';
-import type * as core from '@tamarackferry/core';
-import * as entry from '@tamarackferry/entry';
+import * as core from '@tamarackferry/core';
 
 import * as callMeter from './CallMeter.js';
 import * as platformMode from './PlatformMode.js';
@@ -30,7 +29,7 @@
 export class PlatformStandin {
   private readonly server: http.Server;
 
-  private readonly timers: core.time.TimerService = new entry.time.SystemTimerService();
+  private readonly timers: core.time.TimerService = new core.time.SystemTimerService();
 
   private readonly configuration = new publishedValue.PublishedValue('');
 
--- a/packages/standins/src/upstreams/UpstreamStandin.ts
+++ b/packages/standins/src/upstreams/UpstreamStandin.ts
@@ -1,7 +1,6 @@
 import * as http from 'node:http';
 import type * as net from 'node:net';
-import type * as core from '@tamarackferry/core';
-import * as entry from '@tamarackferry/entry';
+import * as core from '@tamarackferry/core';
 
 import * as behaviourFactory from './BehaviourFactory.js';
 import * as loadReport from './LoadReport.js';
@@ -22,7 +21,7 @@
 
   private readonly server: http.Server;
 
-  private readonly timers: core.time.TimerService = new entry.time.SystemTimerService();
+  private readonly timers: core.time.TimerService = new core.time.SystemTimerService();
 
   private readonly report: loadReport.LoadReport;
 
