Count for the floor only instances that served on time lately

Ruled out: longer doubts of peers, which a VM that is cut off does not hear. Change: an ejection is decided only if enough other instances answered this VM on time within 15 s. The test without a floor is replaced by two stricter cases and one of the rule. Conclusion: an ejection needs positive evidence about the instances that remain.

--- a/packages/core/src/upstreams/CapacityFloor.ts
+++ b/packages/core/src/upstreams/CapacityFloor.ts
@@ -9,6 +9,8 @@
   /** Suspicions of peers; this VM may have too little evidence of its own about an instance that others prefer. */
   readonly doubts: peerDoubts.PeerDoubts;
   readonly floorInstances: number;
+  /** Current time, in milliseconds. */
+  readonly nowMs: number;
 }
 
 /** Keeps ejections from reducing the healthy instances of a service below its floor. */
@@ -29,7 +31,9 @@
   canEject(candidate: instance.Instance, view: FloorView): boolean {
     // A peer's doubt forbids to count on an instance, but is too weak to end an ejection that was made before.
     const others = view.instances.filter((each) => each !== candidate && this.isRemaining(each, view));
-    return others.filter((each) => !view.doubts.has(each.address.name)).length >= this.getFloor(view);
+    // An instance that this VM has not seen serve lately may be gray; counting on it broke the floor of a VM that was cut off.
+    const certain = others.filter((each) => !view.doubts.has(each.address.name) && each.isKnownGood(view.nowMs));
+    return certain.length >= this.getFloor(view);
   }
 
   /**
--- a/packages/core/src/upstreams/Instance.ts
+++ b/packages/core/src/upstreams/Instance.ts
@@ -9,6 +9,11 @@
 
 const NEGLIGIBLE_SCORE = 0.5;
 
+const DOUBT_SCORE = 2;
+
+// A VM sends a few attempts to each instance in this time, also to those that other VMs prefer.
+const KNOWN_GOOD_MS = 15_000;
+
 /** Options of an `Instance`. */
 export interface InstanceOptions {
   readonly address: instanceAddress.InstanceAddress;
@@ -61,6 +66,8 @@
   /** Time of the last answer that was served, in milliseconds. */
   servedAtMs = -Infinity;
 
+  private onTimeAtMs = -Infinity;
+
   suspectedSinceMs = Infinity;
 
   /** Reason of the last ejection or steering. */
@@ -194,6 +201,22 @@
     this.servedAtMs = nowMs;
   }
 
+  /**
+   * Records an answer that was on time.
+   * @param nowMs - Current time, in milliseconds.
+   */
+  recordOnTime(nowMs: number): void {
+    this.onTimeAtMs = nowMs;
+  }
+
+  /**
+   * Whether recent attempts of this VM show that the instance serves well.
+   * @param nowMs - Current time, in milliseconds.
+   */
+  isKnownGood(nowMs: number): boolean {
+    return nowMs - this.onTimeAtMs <= KNOWN_GOOD_MS && this.evidence.getScore() < DOUBT_SCORE;
+  }
+
   /** Gets the state for the status page. */
   getStatus(): upstreamMessage.InstanceStatus {
     return {
--- a/packages/core/src/upstreams/PoolHealth.ts
+++ b/packages/core/src/upstreams/PoolHealth.ts
@@ -111,7 +111,7 @@
    * @param nowMs - Current time, in milliseconds.
    */
   checkFloor(instances: readonly instance.Instance[], nowMs: number): void {
-    const excess = this.floor.listExcess(this.buildFloorView(instances));
+    const excess = this.floor.listExcess(this.buildFloorView(instances, nowMs));
     if (excess.length === 0) return;
     excess.forEach((each) => this.reinstate(each, nowMs));
     this.holdUntilMs = nowMs + HOLD_MIN_MS + this.options.random.drawInteger(HOLD_SPREAD_MS);
@@ -202,7 +202,7 @@
 
   private ejectProven(instances: readonly instance.Instance[], known: readonly suspicion.Suspicion[], nowMs: number): void {
     if (!this.gate.isOpen() || this.standing === 'outside' || nowMs < this.holdUntilMs) return;
-    const view = this.buildFloorView(instances);
+    const view = this.buildFloorView(instances, nowMs);
     instances.map((each, index) => ({ each, known: known[index]! }))
       .filter((candidate) => candidate.each.isInRotation() && this.policy.decide(candidate.known) === 'eject')
       .sort((left, right) => right.known.score - left.known.score)
@@ -214,9 +214,9 @@
       });
   }
 
-  private buildFloorView(instances: readonly instance.Instance[]): capacityFloor.FloorView {
+  private buildFloorView(instances: readonly instance.Instance[], nowMs: number): capacityFloor.FloorView {
     return {
-      instances, peers: this.peerEjections, doubts: this.peerDoubts, floorInstances: this.contract.floorInstances,
+      instances, peers: this.peerEjections, doubts: this.peerDoubts, floorInstances: this.contract.floorInstances, nowMs,
     };
   }
 
--- a/packages/core/src/upstreams/UpstreamTask.ts
+++ b/packages/core/src/upstreams/UpstreamTask.ts
@@ -160,6 +160,7 @@
     const { observation, latencyMs } = message;
     attempted.evidence.record(observation, latencyMs);
     if (observation !== 'on-time' && observation !== 'late') return;
+    if (observation === 'on-time') attempted.recordOnTime(nowMs);
     attempted.recordServed(latencyMs, nowMs);
     this.assigner.latencies.record(latencyMs);
   }
--- a/packages/core/test/upstreams/CapacityFloor.test.ts
+++ b/packages/core/test/upstreams/CapacityFloor.test.ts
@@ -69,8 +69,39 @@
   });
 
   vitest.it('keeps the last instance in service without a floor (guards against a service without instances)', () => {
-    const simulation = createPool({ instances: 2, contract: { floorInstances: 0, detection: 'consecutive-errors' } });
-    simulation.runFor(5_000);
-    vitest.expect(simulation.listEjected()).toHaveLength(1);
+    const contract = { floorInstances: 0, detection: 'consecutive-errors' } as const;
+    const oneGray = createPool({
+      instances: 2,
+      contract,
+      serve: (attempt) => (attempt.instance.name === 'i0' ? { observation: 'failed', latencyMs: 20 } : { observation: 'on-time', latencyMs: 30 }),
+    });
+    oneGray.runFor(5_000);
+    vitest.expect(oneGray.listEjected()).toEqual(['i0']);
+    // With both gray, the one that would remain is not known to serve, so neither is ejected.
+    const bothGray = createPool({ instances: 2, contract });
+    bothGray.runFor(5_000);
+    vitest.expect(bothGray.listEjected()).toEqual([]);
+  });
+
+  vitest.it('counts only instances that served on time lately (guards against ejections by a VM that knows too little)', () => {
+    const createInstance = (): core.upstreams.Instance => new core.upstreams.Instance({
+      address: {
+        service: 's', name: 'i', incarnation: 'x', host: '10.0.0.1', port: 1, place: 'a',
+      },
+      coldSinceMs: -Infinity,
+      limit: new core.upstreams.ConcurrencyLimit(4),
+    });
+    const [candidate, other] = [createInstance(), createInstance()];
+    const canEject = (nowMs: number): boolean => new core.upstreams.CapacityFloor().canEject(candidate, {
+      instances: [candidate, other],
+      peers: new core.upstreams.PeerEjections(),
+      doubts: new core.upstreams.PeerDoubts(),
+      floorInstances: 1,
+      nowMs,
+    });
+    vitest.expect(canEject(1_000)).toBe(false);
+    other.recordOnTime(1_000);
+    vitest.expect(canEject(16_000)).toBe(true);
+    vitest.expect(canEject(16_001)).toBe(false);
   });
 });
