--- a/eslint.config.js
+++ b/eslint.config.js
@@ -10,7 +10,7 @@
 const VERB_NAME = `^(?:${VERBS.join('|')})(?:[A-Z0-9]\\w*)?$`;
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', '**/node_modules/**'] },
+  { ignores: ['**/dist/**', '**/node_modules/**', 'target/**'] },
   airbnb.plugins.stylistic,
   airbnb.plugins.importX,
   airbnb.plugins.typescriptEslint,
--- a/packages/entry/src/links/HeaderFilter.ts
+++ b/packages/entry/src/links/HeaderFilter.ts
@@ -27,6 +27,30 @@
     return HeaderFilter.listHeaders([...fields]);
   }
 
+  /**
+   * Filters header fields in the order and spelling in which they were received.
+   * @param rawFields - Names and values in turn.
+   * @param dropped - Lower-case names that are dropped besides those of one connection.
+   */
+  static filterRaw(rawFields: readonly string[], dropped: ReadonlySet<string>): string[] {
+    const listed = new Set<string>();
+    const kept: string[] = [];
+    // Loops over pairs, since this runs twice for each request.
+    for (let index = 0; index < rawFields.length; index += 2) {
+      if (rawFields[index]!.toLowerCase() === 'connection') {
+        rawFields[index + 1]!.toLowerCase().split(',').forEach((name) => listed.add(name.trim()));
+      }
+    }
+    for (let index = 0; index < rawFields.length; index += 2) {
+      const name = rawFields[index]!.toLowerCase();
+      const value = rawFields[index + 1]!;
+      if (!HOP_HEADERS.has(name) && !listed.has(name) && !dropped.has(name) && NAME_PATTERN.test(name) && VALUE_PATTERN.test(value)) {
+        kept.push(rawFields[index]!, value);
+      }
+    }
+    return kept;
+  }
+
   private static listHeaders(
     entries: readonly (readonly [string, string | readonly string[] | undefined])[],
   ): readonly (readonly [string, string])[] {
--- a/packages/entry/src/links/index.ts
+++ b/packages/entry/src/links/index.ts
@@ -5,4 +5,5 @@
 export * from './PeerSchema.js';
 export * from './PeerServer.js';
 export * from './PeerTransport.js';
+export * from './TrpcFetcher.js';
 export * from './TrpcPeerTransport.js';
--- a/packages/entry/src/upstreams/AnswerReader.ts
+++ b/packages/entry/src/upstreams/AnswerReader.ts
@@ -2,6 +2,7 @@
 import type * as core from '@tamarackferry/core';
 
 import * as links from '../links/index.js';
+import * as replyReader from './ReplyReader.js';
 
 const NOT_RUN_DECLARATIONS = ['shed', 'draining', 'cancelled'] as const;
 const DIGEST_PATTERN = /(?:^|[\s,])sha-256=:([A-Za-z0-9+/=]+):/;
@@ -25,7 +26,7 @@
 }
 
 /** Collects one answer and checks that it is complete and belongs to its request. */
-export class AnswerReader {
+export class AnswerReader extends replyReader.ReplyReader {
   private status = 0;
 
   private readonly fields = new Map<string, readonly string[]>();
@@ -38,15 +39,11 @@
 
   /** @param options - Request that the answer belongs to. */
   constructor(private readonly options: AnswerReaderOptions) {
+    super();
     this.hash = options.contract?.answerDigest === 'sent' ? crypto.createHash('sha256') : undefined;
   }
 
-  /**
-   * Takes the head of the answer.
-   * @param status - Status code.
-   * @param rawFields - Names and values of the header fields in turn.
-   */
-  readHead(status: number, rawFields: readonly Buffer[]): void {
+  override readHead(status: number, rawFields: readonly Buffer[]): void {
     this.status = status;
     // One character for each byte: HTTP does not define the encoding of values, and Node.js writes them in the same way.
     const texts = rawFields.map((part) => part.toString('latin1'));
@@ -55,16 +52,11 @@
     });
   }
 
-  /** Whether a head was received. */
-  hasHead(): boolean {
+  override hasHead(): boolean {
     return this.status !== 0;
   }
 
-  /**
-   * Takes a part of the body. The result tells whether the parts that are kept still fit the buffer.
-   * @param chunk - Part of the body.
-   */
-  readData(chunk: Buffer): 'buffered' | 'overflowed' {
+  override readData(chunk: Buffer): 'buffered' | 'overflowed' {
     this.hash?.update(chunk);
     this.receivedBytes += chunk.length;
     this.chunks.push(chunk);
@@ -78,11 +70,15 @@
     return taken;
   }
 
-  /** Whether the answer, which has ended, is whole by its framing and its digest. */
-  isComplete(): boolean {
+  /** Whether the answer is whole by its framing and its digest. */
+  override isComplete(): boolean {
     return this.hasHead() && this.isFramed() && this.isDigestMatched();
   }
 
+  override isReusable(): boolean {
+    return this.getDeclarations().echo !== 'mismatched';
+  }
+
   /** Gets what the head declares. */
   getDeclarations(): AnswerDeclarations {
     const { contract, requestId } = this.options;
--- a/packages/entry/src/upstreams/AttemptExchange.ts
+++ b/packages/entry/src/upstreams/AttemptExchange.ts
@@ -1,10 +1,12 @@
 import type * as core from '@tamarackferry/core';
 
 import type * as listenerMessage from '../callers/ListenerMessage.js';
+import type * as answerReader from './AnswerReader.js';
 import * as exchange from './Exchange.js';
 
 /** Options of an `AttemptExchange`. */
 export interface AttemptExchangeOptions extends exchange.ExchangeOptions {
+  readonly reader: answerReader.AnswerReader;
   readonly attempt: Extract<core.vms.VmOutput, { type: 'send-attempt' }>;
   readonly vm: core.tasks.Mailbox<core.vms.VmInput>;
   /** Receives streamed answers. */
@@ -27,8 +29,8 @@
     if (this.delivery !== 'deciding') return;
     this.delivery = 'streaming';
     const { attempt, listener } = this.attemptOptions;
-    const { status, headers } = this.reader.buildAnswer();
-    const length = this.reader.getDeclaredLength();
+    const { status, headers } = this.attemptOptions.reader.buildAnswer();
+    const length = this.attemptOptions.reader.getDeclaredLength();
     listener.post({
       type: 'stream-started',
       requestId: attempt.requestId,
@@ -50,7 +52,7 @@
   }
 
   protected override handleData(chunk: Buffer): void {
-    const fit = this.reader.readData(chunk);
+    const fit = this.attemptOptions.reader.readData(chunk);
     if (this.delivery === 'streaming') this.sendChunks();
     else if (this.delivery === 'buffering' && fit === 'overflowed') this.handleOverflow();
   }
@@ -58,7 +60,7 @@
   protected override handleOverflow(): void {
     this.delivery = 'deciding';
     this.controller?.pause();
-    const { echo } = this.reader.getDeclarations();
+    const { echo } = this.attemptOptions.reader.getDeclarations();
     this.attemptOptions.vm.post({ type: 'attempt-overflowed', attemptId: this.attemptOptions.attempt.attemptId, echo });
   }
 
@@ -75,7 +77,7 @@
   private buildResult(ending: exchange.ExchangeEnding): core.upstreams.AttemptResult {
     switch (ending) {
       case 'complete':
-        return { type: 'answered', answer: this.reader.buildAnswer(), ...this.reader.getDeclarations() };
+        return { type: 'answered', answer: this.attemptOptions.reader.buildAnswer(), ...this.attemptOptions.reader.getDeclarations() };
       case 'overdue':
         return { type: 'timed-out' };
       case 'cancelled':
@@ -88,7 +90,7 @@
   private sendChunks(): void {
     this.controller?.pause();
     this.attemptOptions.listener.post({
-      type: 'stream-data', requestId: this.attemptOptions.attempt.requestId, data: Buffer.concat(this.reader.takeChunks()),
+      type: 'stream-data', requestId: this.attemptOptions.attempt.requestId, data: Buffer.concat(this.attemptOptions.reader.takeChunks()),
     });
   }
 }
--- a/packages/entry/src/upstreams/CancelExchange.ts
+++ b/packages/entry/src/upstreams/CancelExchange.ts
@@ -1,7 +1,9 @@
+import type * as answerReader from './AnswerReader.js';
 import * as exchange from './Exchange.js';
 
 /** Options of a `CancelExchange`. */
 export interface CancelExchangeOptions extends exchange.ExchangeOptions {
+  readonly reader: answerReader.AnswerReader;
   /** Called once. `confirmed-not-run` if the instance declared that it did not run the request and will not. */
   readonly onEnd: (confirmation: 'confirmed-not-run' | 'silent') => void;
 }
@@ -14,7 +16,7 @@
   }
 
   protected override complete(ending: exchange.ExchangeEnding): void {
-    const declarations = this.reader.getDeclarations();
+    const declarations = this.cancelOptions.reader.getDeclarations();
     const confirmed = ending === 'complete' && declarations.notRun === 'cancelled' && declarations.echo !== 'mismatched';
     this.cancelOptions.onEnd(confirmed ? 'confirmed-not-run' : 'silent');
   }
--- a/packages/entry/src/upstreams/ConnectionMessage.ts
+++ b/packages/entry/src/upstreams/ConnectionMessage.ts
@@ -1,10 +1,15 @@
 import type * as core from '@tamarackferry/core';
 
+/** The time of an exchange is over. */
+export interface ExchangeOverdue {
+  readonly type: 'exchange-overdue';
+  readonly exchangeId: string;
+}
+
 /** Message to the `UpstreamConnections`. */
 export type ConnectionMessage =
   | Extract<core.vms.VmOutput, { type: 'send-attempt' | 'cancel-attempt' | 'stream-attempt' | 'send-probe' }>
-  /** The time of an exchange is over. */
-  | { readonly type: 'exchange-overdue'; readonly exchangeId: string }
+  | ExchangeOverdue
   /** The caller took the part of a streamed answer that it was sent. */
   | { readonly type: 'stream-ready'; readonly attemptId: string }
   /** The caller of a streamed answer closed its connection. */
--- a/packages/entry/src/upstreams/ConnectionPool.ts
+++ b/packages/entry/src/upstreams/ConnectionPool.ts
@@ -5,7 +5,10 @@
   /** Origin of the instance. */
   readonly origin: string;
   readonly connectTimeoutMs: number;
+  /** Time after which an idle connection is closed, unless the instance states one. */
   readonly idleTimeoutMs: number;
+  /** Bound on the time that the instance states; `idleTimeoutMs` if not given. */
+  readonly maxIdleTimeoutMs?: number;
 }
 
 /** Connections of this VM to one instance. */
--- a/packages/entry/src/upstreams/Exchange.ts
+++ b/packages/entry/src/upstreams/Exchange.ts
@@ -1,9 +1,9 @@
 import type * as core from '@tamarackferry/core';
 import * as undici from 'undici';
 
-import type * as answerReader from './AnswerReader.js';
 import type * as connectionMessage from './ConnectionMessage.js';
 import type * as connectionPool from './ConnectionPool.js';
+import type * as replyReader from './ReplyReader.js';
 import type * as upstreamConnection from './UpstreamConnection.js';
 
 /**
@@ -24,17 +24,15 @@
   /** Greatest number of connections to the instance. */
   readonly connectionLimit: number;
   readonly request: undici.Dispatcher.DispatchOptions;
-  readonly reader: answerReader.AnswerReader;
+  readonly reader: replyReader.ReplyReader;
   readonly timeoutMs: number;
   readonly timers: core.time.TimerService;
   /** Task that owns the exchange and gets its time-out. */
-  readonly owner: core.tasks.Mailbox<connectionMessage.ConnectionMessage>;
+  readonly owner: core.tasks.Mailbox<connectionMessage.ExchangeOverdue>;
 }
 
 /** One request to an instance and its answer. Ends exactly once. */
 export abstract class Exchange {
-  protected readonly reader: answerReader.AnswerReader;
-
   protected controller: undici.Dispatcher.DispatchController | undefined;
 
   private connection: upstreamConnection.UpstreamConnection | undefined;
@@ -44,9 +42,7 @@
   private state: 'open' | 'ended' = 'open';
 
   /** @param options - Request and connections of the exchange. */
-  constructor(private readonly options: ExchangeOptions) {
-    this.reader = options.reader;
-  }
+  constructor(private readonly options: ExchangeOptions) {}
 
   /** Sends the request. */
   send(): void {
@@ -62,12 +58,12 @@
     this.connection.dispatch(options.request, {
       onRequestStart: (controller) => this.handleStart(controller),
       onResponseStart: (controller, status) => {
-        if (status >= 200) this.reader.readHead(status, (controller.rawHeaders ?? []) as Buffer[]);
+        if (status >= 200) this.options.reader.readHead(status, (controller.rawHeaders ?? []) as Buffer[]);
       },
       onResponseData: (_, chunk) => {
         if (this.state === 'open') this.handleData(chunk);
       },
-      onResponseEnd: () => this.end(this.reader.isComplete() ? 'complete' : 'truncated'),
+      onResponseEnd: () => this.end(this.options.reader.isComplete() ? 'complete' : 'truncated'),
       onResponseError: () => this.end(this.computeFailure()),
     });
   }
@@ -98,7 +94,7 @@
    * @param chunk - Part of the body.
    */
   protected handleData(chunk: Buffer): void {
-    if (this.reader.readData(chunk) === 'overflowed') this.handleOverflow();
+    if (this.options.reader.readData(chunk) === 'overflowed') this.handleOverflow();
   }
 
   /**
@@ -109,7 +105,7 @@
     if (this.state === 'ended') return;
     this.state = 'ended';
     this.overdue?.cancel();
-    const reusable = ending === 'complete' && this.reader.getDeclarations().echo !== 'mismatched';
+    const reusable = ending === 'complete' && this.options.reader.isReusable();
     if (this.connection !== undefined) this.options.pool.release(this.connection, reusable ? 'reusable' : 'spent');
     this.complete(ending);
   }
@@ -131,6 +127,6 @@
 
   private computeFailure(): ExchangeEnding {
     if (this.controller === undefined) return 'refused';
-    return this.reader.hasHead() ? 'truncated' : 'reset';
+    return this.options.reader.hasHead() ? 'truncated' : 'reset';
   }
 }
--- a/packages/entry/src/upstreams/ProbeExchange.ts
+++ b/packages/entry/src/upstreams/ProbeExchange.ts
@@ -1,9 +1,11 @@
 import type * as core from '@tamarackferry/core';
 
+import type * as answerReader from './AnswerReader.js';
 import * as exchange from './Exchange.js';
 
 /** Options of a `ProbeExchange`. */
 export interface ProbeExchangeOptions extends exchange.ExchangeOptions {
+  readonly reader: answerReader.AnswerReader;
   /** Called once with the result. */
   readonly onEnd: (result: core.upstreams.ProbeResult) => void;
 }
@@ -24,9 +26,9 @@
 
   private buildResult(ending: exchange.ExchangeEnding): core.upstreams.ProbeResult {
     if (ending !== 'complete') return { type: 'failed' };
-    const { drain, load } = this.reader.getDeclarations();
+    const { drain, load } = this.probeOptions.reader.getDeclarations();
     if (drain === 'leaving') return { type: 'draining' };
-    const { status } = this.reader.buildAnswer();
+    const { status } = this.probeOptions.reader.buildAnswer();
     if (status < 200 || status > 299) return { type: 'unhealthy' };
     return { type: 'healthy', latencyMs: this.probeOptions.timers.getNowMs() - this.startedAtMs, load };
   }
--- a/packages/entry/src/upstreams/UpstreamConnection.ts
+++ b/packages/entry/src/upstreams/UpstreamConnection.ts
@@ -5,8 +5,10 @@
   /** Origin of the instance, for example `http://10.0.0.1:8080`. */
   readonly origin: string;
   readonly connectTimeoutMs: number;
-  /** Time after which an idle connection is closed. */
+  /** Time after which an idle connection is closed, unless the instance states one. */
   readonly idleTimeoutMs: number;
+  /** Bound on the time that the instance states; `idleTimeoutMs` if not given. */
+  readonly maxIdleTimeoutMs?: number;
   /** Called when the instance closes the connection while it is idle. */
   readonly onIdleClose: (connection: UpstreamConnection) => void;
 }
@@ -23,7 +25,7 @@
       pipelining: 1,
       connect: { timeout: options.connectTimeoutMs },
       keepAliveTimeout: options.idleTimeoutMs,
-      keepAliveMaxTimeout: options.idleTimeoutMs,
+      keepAliveMaxTimeout: options.maxIdleTimeoutMs ?? options.idleTimeoutMs,
       // The exchange has its own deadline.
       headersTimeout: 0,
       bodyTimeout: 0,
--- a/packages/entry/src/upstreams/index.ts
+++ b/packages/entry/src/upstreams/index.ts
@@ -5,5 +5,6 @@
 export * from './ConnectionPool.js';
 export * from './Exchange.js';
 export * from './ProbeExchange.js';
+export * from './ReplyReader.js';
 export * from './UpstreamConnection.js';
 export * from './UpstreamConnections.js';
--- /dev/null
+++ b/packages/front/src/callers/DirectoryListener.ts
@@ -0,0 +1,41 @@
+import * as http from 'node:http';
+import type * as core from '@tamarackferry/core';
+import type * as gateway from '@tamarackferry/gateway';
+
+import * as addressListener from '../links/AddressListener.js';
+import type * as directoryDialect from './DirectoryDialect.js';
+
+/** Options of a `DirectoryListener`. */
+export interface DirectoryListenerOptions extends addressListener.AddressListenerOptions {
+  /** Port on which all VMs serve callers. */
+  readonly frontPort: number;
+  readonly dialect: directoryDialect.DirectoryDialect;
+  readonly membership: core.tasks.Mailbox<gateway.vms.MembershipMessage>;
+}
+
+/** Tells callers which VMs to connect to. */
+export class DirectoryListener extends addressListener.AddressListener {
+  /** @param directoryOptions - Address and receivers. */
+  constructor(private readonly directoryOptions: DirectoryListenerOptions) {
+    super(directoryOptions);
+  }
+
+  protected override answerRequest(request: http.IncomingMessage, response: http.ServerResponse): void {
+    const { dialect, membership, frontPort } = this.directoryOptions;
+    const place = request.method === 'GET' ? dialect.readPlace(request.url ?? '') : undefined;
+    if (place === undefined) {
+      response.writeHead(404, { 'content-length': 0 }).end();
+      return;
+    }
+    membership.post({
+      type: 'directory-asked',
+      place,
+      replyTo: {
+        post: (answer) => {
+          const body = dialect.buildBody(answer, frontPort);
+          response.writeHead(200, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) }).end(body);
+        },
+      },
+    });
+  }
+}
--- /dev/null
+++ b/packages/front/src/callers/FrontListener.ts
@@ -0,0 +1,204 @@
+import * as http from 'node:http';
+import type * as net from 'node:net';
+import * as core from '@tamarackferry/core';
+import * as entry from '@tamarackferry/entry';
+import type * as gateway from '@tamarackferry/gateway';
+import * as neverthrow from 'neverthrow';
+
+import type * as callerDialect from './CallerDialect.js';
+import * as frontExchange from './FrontExchange.js';
+import type * as frontMessage from './FrontMessage.js';
+
+// Limits in force until a configuration is known.
+const INITIAL_LIMITS: gateway.contracts.CallerLimits = {
+  headerBytes: 16 * 1024, bodyBytes: 1024 * 1024, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000,
+};
+
+// Bodies are held in memory until they are sent; a VM may have as little as 250 MB.
+const MAX_HELD_BYTES = 96 * 1024 * 1024;
+
+const LIMIT_CHECK_MS = 1_000;
+const EMPTY = Buffer.alloc(0);
+const NOT_FORWARDED: ReadonlySet<string> = new Set();
+
+/** Options of a `FrontListener`. */
+export interface FrontListenerOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly scheduler: core.tasks.TaskScheduler;
+  readonly timers: core.time.TimerService;
+  readonly dialect: callerDialect.CallerDialect;
+  readonly requests: core.tasks.Mailbox<gateway.callers.RoutedRequestMessage>;
+  readonly onEvent: (event: string, fields: gateway.callers.LogFields) => void;
+}
+
+/** Owns the HTTP server that callers send requests to. */
+export class FrontListener extends core.tasks.Task<frontMessage.FrontMessage> {
+  private readonly server: http.Server;
+
+  private readonly exchanges = new Map<string, frontExchange.FrontExchange>();
+
+  private readonly sockets = new Map<net.Socket, Set<string>>();
+
+  private limits = INITIAL_LIMITS;
+
+  private heldBytes = 0;
+
+  private nextRequest = 0;
+
+  private state: 'serving' | 'draining' = 'serving';
+
+  /** @param options - Address and receivers. */
+  constructor(private readonly options: FrontListenerOptions) {
+    super(options.scheduler);
+    this.server = http.createServer({
+      connectionsCheckingInterval: LIMIT_CHECK_MS, noDelay: true, maxHeaderSize: INITIAL_LIMITS.headerBytes,
+    });
+    this.server.requestTimeout = 0;
+    this.applyLimits(INITIAL_LIMITS);
+    this.server.on('connection', (socket) => this.trackSocket(socket));
+    this.server.on('request', (request, response) => this.readRequest(request, response));
+    this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => this.refuseSocket(error, socket as net.Socket));
+  }
+
+  /** Starts listening and resolves to the port that was bound, or to the error code. */
+  listen(): Promise<neverthrow.Result<number, string>> {
+    return new Promise((resolve) => {
+      this.server.once('error', (error: NodeJS.ErrnoException) => resolve(neverthrow.err(error.code ?? error.message)));
+      this.server.listen(this.options.port, this.options.host, () => {
+        resolve(neverthrow.ok((this.server.address() as net.AddressInfo).port));
+      });
+    });
+  }
+
+  /** Counts the requests that are not answered yet. */
+  countOpen(): number {
+    return this.exchanges.size;
+  }
+
+  /** @internal */
+  override handle(message: frontMessage.FrontMessage): void {
+    switch (message.type) {
+      case 'answer':
+        this.send(message.requestId, message.answer.status, message.answer.headers, message.answer.body);
+        break;
+      case 'refuse': {
+        const refusal = this.options.dialect.buildRefusal(message.reason, message.retryAfterMs);
+        this.send(message.requestId, refusal.status, refusal.headers, EMPTY);
+        break;
+      }
+      case 'limits-changed':
+        this.applyLimits(message.limits);
+        break;
+      case 'drain':
+        this.state = 'draining';
+        break;
+      case 'close-listener':
+        this.server.close();
+        this.server.closeIdleConnections();
+        break;
+      // no default
+    }
+  }
+
+  private send(requestId: string, status: number, headers: readonly string[], body: Uint8Array): void {
+    const exchange = this.exchanges.get(requestId);
+    if (exchange === undefined) return;
+    this.endExchange(requestId, exchange);
+    exchange.send(status, headers, body, this.state === 'draining' ? 'close' : 'keep');
+  }
+
+  private endExchange(requestId: string, exchange: frontExchange.FrontExchange): void {
+    this.exchanges.delete(requestId);
+    this.sockets.get(exchange.request.socket)?.delete(requestId);
+    this.heldBytes -= exchange.getBody().length;
+  }
+
+  private trackSocket(socket: net.Socket): void {
+    this.sockets.set(socket, new Set());
+    socket.once('close', () => {
+      const open = this.sockets.get(socket) ?? new Set();
+      this.sockets.delete(socket);
+      // Requests that wait behind another on the connection are closed with it too.
+      open.forEach((requestId) => {
+        const exchange = this.exchanges.get(requestId);
+        if (exchange !== undefined) this.endExchange(requestId, exchange);
+        this.options.requests.post({ type: 'caller-gone', requestId });
+      });
+    });
+  }
+
+  private readRequest(request: http.IncomingMessage, response: http.ServerResponse): void {
+    const exchange = new frontExchange.FrontExchange(request, response, this.options.timers.getNowMs());
+    request.on('data', (chunk: Buffer) => {
+      if (exchange.readData(chunk, this.limits.bodyBytes) === 'exceeded') exchange.send(413, [], EMPTY, 'close');
+    });
+    request.on('end', () => {
+      if (exchange.isOpen()) this.acceptRequest(exchange);
+    });
+    // An error of the request is followed by the close of its socket, which ends the request.
+    request.on('error', () => undefined);
+    response.on('error', () => undefined);
+  }
+
+  private acceptRequest(exchange: frontExchange.FrontExchange): void {
+    const { request } = exchange;
+    const terms = this.options.dialect.readTerms(request.headers);
+    const ids = this.sockets.get(request.socket);
+    if (ids === undefined) return;
+    if (terms === undefined) {
+      this.options.onEvent('request-malformed', { method: request.method, path: request.url });
+      exchange.send(400, [], EMPTY, 'keep');
+      return;
+    }
+    const body = exchange.getBody();
+    if (this.heldBytes + body.length > MAX_HELD_BYTES) {
+      this.options.onEvent('request-refused', { id: terms.callerRequestId, reason: 'memory', heldBytes: this.heldBytes });
+      const refusal = this.options.dialect.buildRefusal('overloaded', LIMIT_CHECK_MS);
+      exchange.send(refusal.status, refusal.headers, EMPTY, 'keep');
+      return;
+    }
+    this.nextRequest += 1;
+    const requestId = String(this.nextRequest);
+    this.heldBytes += body.length;
+    this.exchanges.set(requestId, exchange);
+    ids.add(requestId);
+    this.options.requests.post({
+      type: 'request-arrived',
+      arrival: {
+        requestId,
+        callerRequestId: terms.callerRequestId,
+        method: request.method ?? 'GET',
+        host: request.headers.host ?? '',
+        path: request.url ?? '/',
+        headers: entry.links.HeaderFilter.filterRaw(request.rawHeaders, NOT_FORWARDED),
+        body,
+        deadlineMs: terms.deadlineMs,
+        arrivedAtMs: exchange.arrivedAtMs,
+      },
+    });
+  }
+
+  private applyLimits(limits: gateway.contracts.CallerLimits): void {
+    this.limits = limits;
+    this.server.keepAliveTimeout = limits.idleTimeoutMs;
+    this.server.headersTimeout = limits.headerTimeoutMs;
+    // The server reads this property for each new connection, though its type does not declare it.
+    Object.assign(this.server, { maxHeaderSize: limits.headerBytes });
+  }
+
+  private refuseSocket(error: NodeJS.ErrnoException, socket: net.Socket): void {
+    if (error.code === 'ECONNRESET' || !socket.writable) {
+      socket.destroy();
+      return;
+    }
+    this.options.onEvent('request-unreadable', { code: error.code, detail: error.message });
+    if ((this.sockets.get(socket)?.size ?? 0) > 0) {
+      // Earlier requests on the connection are still to be answered; nothing may be written between their answers.
+      socket.pause();
+      return;
+    }
+    const statuses: NodeJS.Dict<string> = { HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large', ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout' };
+    socket.end(`HTTP/1.1 ${statuses[error.code ?? ''] ?? '400 Bad Request'}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+  }
+}
--- /dev/null
+++ b/packages/front/src/callers/index.ts
@@ -0,0 +1,6 @@
+export * from './CallerDialect.js';
+export * from './DirectoryDialect.js';
+export * from './DirectoryListener.js';
+export * from './FrontExchange.js';
+export * from './FrontListener.js';
+export type * from './FrontMessage.js';
--- /dev/null
+++ b/packages/front/src/catalogs/CatalogReader.ts
@@ -0,0 +1,63 @@
+import * as core from '@tamarackferry/core';
+import type * as gateway from '@tamarackferry/gateway';
+
+import type * as catalogSource from './CatalogSource.js';
+
+/** Message to the `CatalogReader`. */
+export type CatalogReaderMessage = Extract<gateway.contracts.CatalogOutput, { type: 'read-snapshot' | 'watch-changes' | 'stop-reading' }>;
+
+/** Options of a `CatalogReader`. */
+export interface CatalogReaderOptions {
+  readonly scheduler: core.tasks.TaskScheduler;
+  readonly source: catalogSource.CatalogSource;
+  readonly catalog: core.tasks.Mailbox<gateway.contracts.CatalogMessage>;
+}
+
+/** Owns the connection to the place where the catalog is published. */
+export class CatalogReader extends core.tasks.Task<CatalogReaderMessage> {
+  private state: 'open' | 'closed' = 'open';
+
+  /** @param options - Source and receiver. */
+  constructor(private readonly options: CatalogReaderOptions) {
+    super(options.scheduler);
+  }
+
+  /** @internal */
+  override handle(message: CatalogReaderMessage): void {
+    switch (message.type) {
+      case 'read-snapshot':
+        void this.readSnapshot();
+        break;
+      case 'watch-changes':
+        void this.watchChanges(message.afterRevision, message.waitMs);
+        break;
+      case 'stop-reading':
+        this.state = 'closed';
+        void this.options.source.close();
+        break;
+      // no default
+    }
+  }
+
+  private async readSnapshot(): Promise<void> {
+    const read = await this.options.source.readSnapshot();
+    this.report(read.match(
+      (snapshot): gateway.contracts.CatalogMessage => ({ type: 'snapshot-read', snapshot }),
+      (failure) => ({ type: 'read-failed', reason: failure.type, detail: failure.detail }),
+    ));
+  }
+
+  private async watchChanges(afterRevision: number, waitMs: number): Promise<void> {
+    const watched = await this.options.source.watchChanges(afterRevision, waitMs);
+    this.report(watched.match(
+      (watch): gateway.contracts.CatalogMessage => (watch.type === 'changes'
+        ? { type: 'changes-read', changes: watch.changes, revision: watch.revision }
+        : { type: 'history-lost' }),
+      (failure) => ({ type: 'read-failed', reason: failure.type, detail: failure.detail }),
+    ));
+  }
+
+  private report(message: gateway.contracts.CatalogMessage): void {
+    if (this.state === 'open') this.options.catalog.post(message);
+  }
+}
--- /dev/null
+++ b/packages/front/src/catalogs/index.ts
@@ -0,0 +1,2 @@
+export * from './CatalogReader.js';
+export * from './CatalogSource.js';
--- /dev/null
+++ b/packages/front/src/links/AddressListener.ts
@@ -0,0 +1,50 @@
+import * as http from 'node:http';
+import type * as net from 'node:net';
+import * as neverthrow from 'neverthrow';
+
+// Those who ask keep connections for a few questions only.
+const IDLE_TIMEOUT_MS = 10_000;
+
+/** Options of an `AddressListener`. */
+export interface AddressListenerOptions {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Owns a small HTTP server that answers questions about this VM. */
+export abstract class AddressListener {
+  private readonly server: http.Server;
+
+  /** @param options - Address to listen on. */
+  constructor(private readonly options: AddressListenerOptions) {
+    this.server = http.createServer({ keepAliveTimeout: IDLE_TIMEOUT_MS, noDelay: true }, (request, response) => {
+      response.sendDate = false;
+      // A question has no body that matters; reading it frees the connection for the next one.
+      request.resume();
+      this.answerRequest(request, response);
+    });
+  }
+
+  /** Starts listening and resolves to the port that was bound, or to the error code. */
+  listen(): Promise<neverthrow.Result<number, string>> {
+    return new Promise((resolve) => {
+      this.server.once('error', (error: NodeJS.ErrnoException) => resolve(neverthrow.err(error.code ?? error.message)));
+      this.server.listen(this.options.port, this.options.host, () => {
+        resolve(neverthrow.ok((this.server.address() as net.AddressInfo).port));
+      });
+    });
+  }
+
+  /** Stops listening and closes all connections. */
+  close(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  /**
+   * Answers one question.
+   * @param request - Question.
+   * @param response - Answer to send.
+   */
+  protected abstract answerRequest(request: http.IncomingMessage, response: http.ServerResponse): void;
+}
--- /dev/null
+++ b/packages/front/src/links/HeartbeatSocket.ts
@@ -0,0 +1,66 @@
+import * as dgram from 'node:dgram';
+import * as core from '@tamarackferry/core';
+import type * as gateway from '@tamarackferry/gateway';
+import * as neverthrow from 'neverthrow';
+
+import * as heartbeatSchema from './HeartbeatSchema.js';
+
+/** Message to the `HeartbeatSocket`. */
+export type HeartbeatSocketMessage = gateway.vms.MembershipOutput | { readonly type: 'datagram'; readonly data: Buffer };
+
+/** Options of a `HeartbeatSocket`. */
+export interface HeartbeatSocketOptions {
+  readonly host: string;
+  /** Port on which all VMs receive heartbeats. */
+  readonly port: number;
+  readonly scheduler: core.tasks.TaskScheduler;
+  readonly membership: core.tasks.Mailbox<gateway.vms.MembershipMessage>;
+  readonly onEvent: (event: string, fields: gateway.callers.LogFields) => void;
+}
+
+/** Owns the datagram socket on which VMs exchange heartbeats. */
+export class HeartbeatSocket extends core.tasks.Task<HeartbeatSocketMessage> {
+  private readonly socket = dgram.createSocket('udp4');
+
+  /** @param options - Address and receivers. */
+  constructor(private readonly options: HeartbeatSocketOptions) {
+    super(options.scheduler);
+    this.socket.on('message', (data) => this.post({ type: 'datagram', data }));
+  }
+
+  /** Binds the socket and resolves to its port, or to the error code. */
+  listen(): Promise<neverthrow.Result<number, string>> {
+    return new Promise((resolve) => {
+      this.socket.once('error', (error: NodeJS.ErrnoException) => resolve(neverthrow.err(error.code ?? error.message)));
+      this.socket.bind(this.options.port, this.options.host, () => {
+        this.socket.on('error', (error) => this.options.onEvent('heartbeat-failed', { detail: error.message }));
+        resolve(neverthrow.ok(this.socket.address().port));
+      });
+    });
+  }
+
+  /** Closes the socket. */
+  close(): void {
+    this.socket.close();
+  }
+
+  /** @internal */
+  override handle(message: HeartbeatSocketMessage): void {
+    if (message.type === 'send-heartbeat') {
+      const data = Buffer.from(JSON.stringify(message.heartbeat));
+      // A lost heartbeat is followed by the next one; an error here says no more than its loss.
+      message.hosts.forEach((host) => this.socket.send(data, this.options.port, host, (error) => {
+        if (error !== null) this.options.onEvent('heartbeat-unsent', { host, detail: error.message });
+      }));
+      return;
+    }
+    this.receive(message.data);
+  }
+
+  private receive(data: Buffer): void {
+    const parsed = neverthrow.fromThrowable((text: string): unknown => JSON.parse(text), () => 'not JSON' as const)(data.toString('utf8'));
+    const heartbeat = heartbeatSchema.HEARTBEAT_SCHEMA.safeParse(parsed.unwrapOr(undefined));
+    if (heartbeat.success) this.options.membership.post({ type: 'heartbeat-received', heartbeat: heartbeat.data });
+    else this.options.onEvent('heartbeat-unreadable', { bytes: data.length, field: heartbeat.error.issues[0]?.path.join('.') });
+  }
+}
--- /dev/null
+++ b/packages/front/src/links/NewsClient.ts
@@ -0,0 +1,66 @@
+import * as core from '@tamarackferry/core';
+import * as entry from '@tamarackferry/entry';
+import type * as gateway from '@tamarackferry/gateway';
+import * as trpc from '@trpc/client';
+
+import type * as newsRouter from './NewsRouter.js';
+import * as newsSchema from './NewsSchema.js';
+
+// Another VM can be asked by then, so that news stay well within the time in which a change has to be in force.
+const FETCH_TIMEOUT_MS = 600;
+const CONNECT_TIMEOUT_MS = 500;
+const IDLE_TIMEOUT_MS = 9_000;
+
+/** Message to the `NewsClient`. */
+export type NewsClientMessage = Extract<gateway.contracts.CatalogOutput, { type: 'fetch-news' }>;
+
+/** Options of a `NewsClient`. */
+export interface NewsClientOptions {
+  /** Port on which all VMs tell news. */
+  readonly port: number;
+  readonly scheduler: core.tasks.TaskScheduler;
+  readonly catalog: core.tasks.Mailbox<gateway.contracts.CatalogMessage>;
+  readonly onEvent: (event: string, fields: gateway.callers.LogFields) => void;
+}
+
+/** Owns the connections on which this VM asks others for news of the catalog. */
+export class NewsClient extends core.tasks.Task<NewsClientMessage> {
+  private readonly fetcher = new entry.links.TrpcFetcher({ connectTimeoutMs: CONNECT_TIMEOUT_MS, idleTimeoutMs: IDLE_TIMEOUT_MS });
+
+  /** @param options - Port and receiver. */
+  constructor(private readonly options: NewsClientOptions) {
+    super(options.scheduler);
+  }
+
+  /** Closes the connections. */
+  close(): Promise<void> {
+    return this.fetcher.close();
+  }
+
+  /** @internal */
+  override handle(message: NewsClientMessage): void {
+    void this.fetchNews(message.host, message.afterRevision);
+  }
+
+  private async fetchNews(host: string, afterRevision: number): Promise<void> {
+    const { port, catalog, onEvent } = this.options;
+    const client = trpc.createTRPCClient<newsRouter.NewsRouter>({
+      links: [trpc.httpLink({
+        url: `http://${host}:${port}`,
+        fetch: (target, init) => this.fetcher.fetchFrom(String(target), init as entry.links.FetchInit),
+      })],
+    });
+    try {
+      const told: unknown = await client.news.query(afterRevision, { signal: AbortSignal.timeout(FETCH_TIMEOUT_MS) });
+      const news = newsSchema.NEWS_SCHEMA.safeParse(told);
+      if (news.success) {
+        catalog.post({ type: 'peer-news', host, news: news.data });
+        return;
+      }
+      onEvent('news-unreadable', { host, field: news.error.issues[0]?.path.join('.') });
+    } catch (error) {
+      onEvent('news-failed', { host, detail: error instanceof Error ? error.message : 'unreached' });
+    }
+    catalog.post({ type: 'peer-unreached', host });
+  }
+}
--- /dev/null
+++ b/packages/front/src/links/NewsRouter.ts
@@ -0,0 +1,23 @@
+import type * as core from '@tamarackferry/core';
+import type * as gateway from '@tamarackferry/gateway';
+import * as trpc from '@trpc/server';
+import * as zod from 'zod';
+
+const T = trpc.initTRPC.create();
+
+/**
+ * Builds the router by which VMs ask each other for news of the catalog.
+ * @param catalog - Task that owns the catalog.
+ */
+export function buildNewsRouter(catalog: core.tasks.Mailbox<gateway.contracts.CatalogMessage>) {
+  return T.router({
+    news: T.procedure
+      .input(zod.number().int())
+      .query(({ input }) => new Promise<gateway.contracts.CatalogNews>((resolve) => {
+        catalog.post({ type: 'news-requested', afterRevision: input, replyTo: { post: resolve } });
+      })),
+  });
+}
+
+/** Type of the router, by which clients know its procedures. */
+export type NewsRouter = ReturnType<typeof buildNewsRouter>;
--- /dev/null
+++ b/packages/front/src/links/NewsSchema.ts
@@ -0,0 +1,58 @@
+import * as zod from 'zod';
+
+const REVISION_SCHEMA = zod.number().int();
+const TEXT_SCHEMA = zod.string().max(4_096);
+
+const ROUTE_SCHEMA = zod.object({
+  name: TEXT_SCHEMA,
+  host: TEXT_SCHEMA,
+  prefix: TEXT_SCHEMA,
+  kind: zod.enum(['idempotent', 'non-idempotent']),
+  timeoutMs: zod.number(),
+  objectiveMs: zod.number(),
+  maxAttempts: zod.number().int(),
+  rank: zod.number(),
+  targets: zod.array(zod.object({ service: TEXT_SCHEMA, weight: zod.number() })),
+});
+
+const CONFIGURATION_SCHEMA = zod.object({
+  version: zod.number(),
+  routes: zod.array(ROUTE_SCHEMA),
+  services: zod.array(zod.object({ name: TEXT_SCHEMA, healthPath: TEXT_SCHEMA, maxConnections: zod.number() })),
+  limits: zod.object({
+    headerBytes: zod.number(), bodyBytes: zod.number(), headerTimeoutMs: zod.number(), idleTimeoutMs: zod.number(),
+  }),
+});
+
+const RECORD_SCHEMA = zod.object({
+  id: TEXT_SCHEMA,
+  service: TEXT_SCHEMA,
+  host: TEXT_SCHEMA,
+  port: zod.number().int(),
+  place: TEXT_SCHEMA,
+  slots: zod.number().int().min(1),
+  state: zod.enum(['ready', 'draining']),
+  warmupMs: zod.number(),
+  // JSON leaves out a field that is undefined.
+  startedAtMs: zod.number().optional().transform((value): number | undefined => value),
+}).transform((record) => ({ ...record, startedAtMs: record.startedAtMs }));
+
+const CHANGE_SCHEMA = zod.discriminatedUnion('type', [
+  zod.object({ type: zod.literal('configuration'), revision: REVISION_SCHEMA, configuration: CONFIGURATION_SCHEMA }),
+  zod.object({
+    type: zod.literal('instance'), id: TEXT_SCHEMA, revision: REVISION_SCHEMA, record: RECORD_SCHEMA,
+  }),
+  zod.object({ type: zod.literal('instance-removed'), id: TEXT_SCHEMA, revision: REVISION_SCHEMA }),
+]);
+
+/** News of the catalog as VMs send them. */
+export const NEWS_SCHEMA = zod.discriminatedUnion('type', [
+  zod.object({
+    type: zod.literal('changes'), revision: REVISION_SCHEMA, confirmedAgeMs: zod.number(), changes: zod.array(CHANGE_SCHEMA),
+  }),
+  zod.object({
+    type: zod.literal('snapshot'),
+    confirmedAgeMs: zod.number(),
+    snapshot: zod.object({ revision: REVISION_SCHEMA, changes: zod.array(CHANGE_SCHEMA) }),
+  }),
+]);
--- /dev/null
+++ b/packages/front/src/links/index.ts
@@ -0,0 +1,4 @@
+export * from './AddressListener.js';
+export * from './HeartbeatSocket.js';
+export * from './NewsClient.js';
+export * from './NewsServer.js';
--- /dev/null
+++ b/packages/front/src/metrics/ProcessMetrics.ts
@@ -0,0 +1,71 @@
+import type * as gateway from '@tamarackferry/gateway';
+import * as prometheus from 'prom-client';
+
+// Bounds in seconds, from the time that the system itself adds to the longest deadlines in use.
+const LATENCY_BOUNDS_S = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2, 3, 5];
+
+/** Sources of the gauges, read when metrics are served. */
+export interface GaugeSources {
+  readonly requests: gateway.callers.RoutedRequestTask;
+  readonly catalog: gateway.contracts.CatalogTask;
+  readonly membership: gateway.vms.MembershipTask;
+  readonly countConnections: () => number;
+}
+
+/** Counters, gauges and latency histograms of one process. */
+export class ProcessMetrics {
+  readonly registry = new prometheus.Registry();
+
+  private readonly requests = new prometheus.Counter({
+    name: 'tamarackferry_requests_total', help: 'Requests by route and outcome', labelNames: ['route', 'outcome'], registers: [this.registry],
+  });
+
+  private readonly latency = new prometheus.Histogram({
+    name: 'tamarackferry_request_seconds',
+    help: 'Time from the head of a request to its answer',
+    labelNames: ['route', 'outcome'],
+    buckets: LATENCY_BOUNDS_S,
+    registers: [this.registry],
+  });
+
+  private readonly attempts = new prometheus.Counter({
+    name: 'tamarackferry_failed_attempts_total', help: 'Attempts without a good answer, by service and ending', labelNames: ['service', 'ending'], registers: [this.registry],
+  });
+
+  private readonly events = new prometheus.Counter({
+    name: 'tamarackferry_events_total', help: 'Events of the log, those that were left out included', labelNames: ['event'], registers: [this.registry],
+  });
+
+  /** @param sources - Tasks whose state the gauges show. */
+  constructor(sources: GaugeSources) {
+    this.addGauge('configuration_version', 'Version of the configuration in force', () => sources.catalog.describe().version);
+    this.addGauge('catalog_revision', 'Revision of the store that is known', () => sources.catalog.describe().revision);
+    this.addGauge('catalog_age_seconds', 'Time since the catalog was confirmed', () => sources.catalog.describe().confirmedAgeMs / 1_000);
+    this.addGauge('instances', 'Published instances', () => sources.catalog.describe().instances);
+    this.addGauge('known_vms', 'Other VMs that were lately heard', () => sources.membership.countVms());
+    this.addGauge('open_requests', 'Requests in progress', () => sources.requests.countRequests());
+    this.addGauge('waiting_requests', 'Requests that wait for an instance', () => sources.requests.listDesks().reduce((sum, [, desk]) => sum + desk.queue.countWaiting(), 0));
+    this.addGauge('upstream_connections', 'Open connections to instances', sources.countConnections);
+  }
+
+  /**
+   * Counts what a log line tells.
+   * @param event - Name of the event.
+   * @param fields - Fields of the line.
+   */
+  record(event: string, fields: gateway.callers.LogFields): void {
+    this.events.inc({ event });
+    const { route, elapsedMs } = fields;
+    if (event === 'attempt-failed') this.attempts.inc({ service: String(fields['service']), ending: String(fields['ending']) });
+    if (typeof route !== 'string' || typeof elapsedMs !== 'number' || !event.startsWith('request-')) return;
+    const outcome = String(fields['reason'] ?? fields['status'] ?? event);
+    this.requests.inc({ route, outcome });
+    this.latency.observe({ route, outcome }, elapsedMs / 1_000);
+  }
+
+  private addGauge(name: string, help: string, readValue: () => number): void {
+    const gauge: prometheus.Gauge = new prometheus.Gauge({
+      name: `tamarackferry_${name}`, help, registers: [this.registry], collect: () => gauge.set(readValue()),
+    });
+  }
+}
--- /dev/null
+++ b/packages/front/src/metrics/index.ts
@@ -0,0 +1,2 @@
+export * from './MetricsListener.js';
+export * from './ProcessMetrics.js';
--- /dev/null
+++ b/packages/front/src/upstreams/RoutedConnections.ts
@@ -0,0 +1,120 @@
+import * as core from '@tamarackferry/core';
+import * as entry from '@tamarackferry/entry';
+import type * as gateway from '@tamarackferry/gateway';
+import type * as undici from 'undici';
+
+import * as routedExchange from './RoutedExchange.js';
+import * as routedReplyReader from './RoutedReplyReader.js';
+import type * as upstreamDialect from './UpstreamDialect.js';
+
+// A lost opening packet is sent again after a second; another instance is faster.
+const CONNECT_WAIT_MS = 400;
+
+// Instances that state no time for idle connections may close them after this time.
+const IDLE_TIMEOUT_MS = 4_000;
+
+// Bound on the times that instances state themselves.
+const MAX_IDLE_TIMEOUT_MS = 60_000;
+
+const MAX_POOLS = 4_096;
+
+type Attempt = Extract<gateway.callers.GatewayOutput, { type: 'send-attempt' }>;
+
+/** Message to the `RoutedConnections`. */
+export type RoutedConnectionsMessage =
+  | Extract<gateway.callers.GatewayOutput, { type: 'send-attempt' | 'cancel-attempt' }>
+  | entry.upstreams.ExchangeOverdue;
+
+/** Options of `RoutedConnections`. */
+export interface RoutedConnectionsOptions {
+  readonly scheduler: core.tasks.TaskScheduler;
+  readonly timers: core.time.TimerService;
+  readonly dialect: upstreamDialect.UpstreamDialect;
+  readonly requests: core.tasks.Mailbox<gateway.callers.RoutedRequestMessage>;
+}
+
+/** Owns the connections to instances and sends attempts over them, one at a time on each. */
+export class RoutedConnections extends core.tasks.Task<RoutedConnectionsMessage> {
+  private readonly pools = new Map<string, entry.upstreams.ConnectionPool>();
+
+  private readonly exchanges = new Map<string, routedExchange.RoutedExchange>();
+
+  /** @param options - Dialect and receivers. */
+  constructor(private readonly options: RoutedConnectionsOptions) {
+    super(options.scheduler);
+  }
+
+  /** Counts the open connections. */
+  countConnections(): number {
+    return [...this.pools.values()].reduce((sum, pool) => sum + pool.countConnections(), 0);
+  }
+
+  /** Closes all connections. */
+  async close(): Promise<void> {
+    await Promise.all([...this.pools.values()].map((pool) => pool.close()));
+  }
+
+  /** @internal */
+  override handle(message: RoutedConnectionsMessage): void {
+    switch (message.type) {
+      case 'send-attempt':
+        this.sendAttempt(message);
+        break;
+      case 'cancel-attempt':
+        this.exchanges.get(message.attemptId)?.cancel();
+        break;
+      case 'exchange-overdue':
+        this.exchanges.get(message.exchangeId)?.expire();
+        break;
+      // no default
+    }
+  }
+
+  private sendAttempt(attempt: Attempt): void {
+    const { arrival, attemptId } = attempt;
+    const { timers, dialect, requests } = this.options;
+    const started = new routedExchange.RoutedExchange({
+      exchangeId: attemptId,
+      pool: this.getPool(attempt.instance),
+      connectionLimit: attempt.connectionLimit,
+      timeoutMs: Math.min(CONNECT_WAIT_MS, attempt.deadlineMs),
+      timers,
+      owner: this,
+      request: {
+        method: arrival.method as undici.Dispatcher.HttpMethod,
+        path: arrival.path,
+        headers: dialect.buildHeaders(attempt),
+        body: arrival.body.byteLength > 0 ? arrival.body : null,
+      },
+      reader: new routedReplyReader.RoutedReplyReader({
+        method: arrival.method, callerRequestId: arrival.callerRequestId, dialect,
+      }),
+      onEnd: (ending) => {
+        this.exchanges.delete(attemptId);
+        requests.post({ type: 'attempt-ended', attemptId, ending });
+      },
+    });
+    this.exchanges.set(attemptId, started);
+    started.send();
+  }
+
+  private getPool(instance: gateway.upstreams.InstanceRecord): entry.upstreams.ConnectionPool {
+    // Another process at the same address must not get the connections of the one before.
+    const key = `${instance.id}@${instance.host}:${instance.port}/${instance.startedAtMs ?? 0}`;
+    const known = this.pools.get(key);
+    if (known !== undefined) return known;
+    if (this.pools.size >= MAX_POOLS) this.prunePools();
+    const pool = new entry.upstreams.ConnectionPool({
+      origin: `http://${instance.host}:${instance.port}`,
+      connectTimeoutMs: CONNECT_WAIT_MS,
+      idleTimeoutMs: IDLE_TIMEOUT_MS,
+      maxIdleTimeoutMs: MAX_IDLE_TIMEOUT_MS,
+    });
+    this.pools.set(key, pool);
+    return pool;
+  }
+
+  private prunePools(): void {
+    [...this.pools].filter(([, pool]) => pool.countConnections() === 0).forEach(([key]) => this.pools.delete(key));
+  }
+}
--- /dev/null
+++ b/packages/front/src/upstreams/index.ts
@@ -0,0 +1,4 @@
+export * from './RoutedConnections.js';
+export * from './RoutedExchange.js';
+export * from './RoutedReplyReader.js';
+export * from './UpstreamDialect.js';
--- /dev/null
+++ b/packages/front/src/vms/FrontDialects.ts
@@ -0,0 +1,13 @@
+import type * as callerDialect from '../callers/CallerDialect.js';
+import type * as directoryDialect from '../callers/DirectoryDialect.js';
+import type * as catalogSource from '../catalogs/CatalogSource.js';
+import type * as upstreamDialect from '../upstreams/UpstreamDialect.js';
+
+/** What an adapter of a platform provides. */
+export interface FrontDialects {
+  readonly callers: callerDialect.CallerDialect;
+  readonly directory: directoryDialect.DirectoryDialect;
+  readonly upstreams: upstreamDialect.UpstreamDialect;
+  readonly source: catalogSource.CatalogSource;
+  readonly readinessPath: string;
+}
--- /dev/null
+++ b/packages/front/src/vms/FrontProcess.ts
@@ -0,0 +1,234 @@
+import * as crypto from 'node:crypto';
+import * as core from '@tamarackferry/core';
+import * as gateway from '@tamarackferry/gateway';
+import * as neverthrow from 'neverthrow';
+
+import * as callers from '../callers/index.js';
+import * as catalogs from '../catalogs/index.js';
+import * as links from '../links/index.js';
+import * as metrics from '../metrics/index.js';
+import * as upstreams from '../upstreams/index.js';
+import type * as frontDialects from './FrontDialects.js';
+import type * as frontSettings from './FrontSettings.js';
+import * as readinessListener from './ReadinessListener.js';
+import * as structuredLog from './StructuredLog.js';
+
+// Callers of a place are sent to this many of its VMs: few VMs see enough of each instance to notice within a few
+// requests that it has gone silent, and a second one takes over when the first is lost.
+const FRONTS_PER_PLACE = 2;
+
+// Callers may keep an answer three times as long as it says; they must have left a VM before it stops listening.
+const VALIDITY_MS = 1_200;
+
+// Part of the grace period in which a stopped process still takes new connections.
+const ACCEPT_SHARE = 0.75;
+
+// Time at the end of the grace period that is left for the end of the process itself.
+const EXIT_MARGIN_MS = 400;
+const DRAIN_CHECK_MS = 50;
+
+// The budget of repeats is shared without messages between VMs, whose counts overlap only in part.
+const REPEAT_SHARE = 0.8;
+
+/** Reason why a process does not start. */
+export interface StartFailure {
+  readonly type: 'port-unavailable';
+  readonly listener: string;
+  readonly detail: string;
+}
+
+type DecisionOutput = gateway.callers.GatewayOutput | gateway.contracts.CatalogOutput | gateway.vms.MembershipOutput;
+
+type ProcessMessage = { readonly type: 'accept-over' } | { readonly type: 'drain-check' };
+
+/** One running front process: the decisions of a VM with the tasks that own its sockets. */
+export class FrontProcess implements core.tasks.Mailbox<ProcessMessage> {
+  readonly log: structuredLog.StructuredLog;
+
+  private readonly timers = new core.time.SystemTimerService();
+
+  private readonly scheduler = new core.tasks.TaskScheduler();
+
+  private readonly random = new core.randomness.SeededRandomSource(crypto.randomInt(2 ** 31));
+
+  private readonly requests: gateway.callers.RoutedRequestTask;
+
+  private readonly catalog: gateway.contracts.CatalogTask;
+
+  private readonly membership: gateway.vms.MembershipTask;
+
+  private readonly connections: upstreams.RoutedConnections;
+
+  private readonly listener: callers.FrontListener;
+
+  private readonly heartbeats: links.HeartbeatSocket;
+
+  private readonly news: links.NewsClient;
+
+  private readonly reader: catalogs.CatalogReader;
+
+  private readonly metrics: metrics.ProcessMetrics;
+
+  private stopAtMs = Infinity;
+
+  private notifyEnded: () => void = () => undefined;
+
+  private readonly ended: Promise<void>;
+
+  /**
+   * @param settings - Settings of the process.
+   * @param dialects - Adapter of the platform.
+   */
+  constructor(private readonly settings: frontSettings.FrontSettings, private readonly dialects: frontDialects.FrontDialects) {
+    const { timers, scheduler, random } = this;
+    this.ended = new Promise((resolve) => {
+      this.notifyEnded = resolve;
+    });
+    this.log = new structuredLog.StructuredLog(timers, settings.name);
+    const onEvent = (event: string, fields: gateway.callers.LogFields): void => this.record(event, fields);
+    const outbox = { post: (output: DecisionOutput) => this.deliver(output) };
+    const frontCount = FRONTS_PER_PLACE * settings.placeCount;
+    this.requests = new gateway.callers.RoutedRequestTask({
+      scheduler,
+      timers,
+      random,
+      outbox,
+      place: settings.place,
+      budget: {
+        ratio: settings.repeatRatio * REPEAT_SHARE,
+        slack: (settings.repeatSlack * REPEAT_SHARE) / frontCount / 2,
+        windowMs: settings.repeatWindowMs,
+      },
+    });
+    this.catalog = new gateway.contracts.CatalogTask({
+      scheduler, timers, random, outbox, requests: this.requests, membership: { post: (message) => this.membership.post(message) },
+    });
+    this.membership = new gateway.vms.MembershipTask({
+      scheduler,
+      timers,
+      random,
+      outbox,
+      catalog: this.catalog,
+      self: {
+        name: settings.name, host: settings.host, place: settings.place, incarnation: crypto.randomUUID(), capacity: settings.capacity,
+      },
+      seedHosts: settings.seedHosts,
+      frontsPerPlace: FRONTS_PER_PLACE,
+      validityMs: Math.min(VALIDITY_MS, settings.maxValidityMs),
+    });
+    this.connections = new upstreams.RoutedConnections({
+      scheduler, timers, dialect: dialects.upstreams, requests: this.requests,
+    });
+    this.listener = new callers.FrontListener({
+      ...settings.callers, scheduler, timers, dialect: dialects.callers, requests: this.requests, onEvent,
+    });
+    this.heartbeats = new links.HeartbeatSocket({
+      host: settings.host, port: settings.heartbeatPort, scheduler, membership: this.membership, onEvent,
+    });
+    this.news = new links.NewsClient({
+      port: settings.news.port, scheduler, catalog: this.catalog, onEvent,
+    });
+    this.reader = new catalogs.CatalogReader({ scheduler, source: dialects.source, catalog: this.catalog });
+    this.metrics = new metrics.ProcessMetrics({
+      requests: this.requests,
+      catalog: this.catalog,
+      membership: this.membership,
+      countConnections: () => this.connections.countConnections(),
+    });
+  }
+
+  /** Binds all sockets and begins to read the catalog. */
+  async start(): Promise<neverthrow.Result<void, StartFailure>> {
+    const { settings, membership, dialects } = this;
+    const onEvent = (event: string, fields: gateway.callers.LogFields): void => this.record(event, fields);
+    const bound = await Promise.all([
+      FrontProcess.listenOn('callers', this.listener),
+      FrontProcess.listenOn('heartbeats', this.heartbeats),
+      FrontProcess.listenOn('readiness', new readinessListener.ReadinessListener({
+        ...settings.readiness, path: dialects.readinessPath, membership,
+      })),
+      FrontProcess.listenOn('directory', new callers.DirectoryListener({
+        ...settings.directory, frontPort: settings.callers.port, dialect: dialects.directory, membership,
+      })),
+      FrontProcess.listenOn('news', new links.NewsServer({ ...settings.news, catalog: this.catalog, onEvent })),
+      ...settings.metrics === undefined ? [] : [FrontProcess.listenOn('metrics', new metrics.MetricsListener({
+        host: settings.host, ...settings.metrics, registry: this.metrics.registry,
+      }))],
+    ]);
+    const failed = bound.find((result) => result.isErr());
+    if (failed?.isErr() === true) return neverthrow.err(failed.error);
+    this.log.write('process-started', { place: settings.place, host: settings.host, pid: process.pid });
+    this.membership.post({ type: 'start' });
+    this.catalog.post({ type: 'start' });
+    return neverthrow.ok(undefined);
+  }
+
+  /** Begins a graceful shutdown. */
+  stop(): void {
+    if (this.stopAtMs !== Infinity) return;
+    this.stopAtMs = this.timers.getNowMs() + this.settings.graceMs;
+    this.log.write('process-stopping', { open: this.listener.countOpen() });
+    this.membership.post({ type: 'stop' });
+    this.listener.post({ type: 'drain' });
+    this.timers.subscribe({ mailbox: this, message: { type: 'accept-over' as const }, delayMs: this.settings.graceMs * ACCEPT_SHARE });
+  }
+
+  /** Resolves when the process may end. */
+  waitForEnd(): Promise<void> {
+    return this.ended;
+  }
+
+  /** @internal */
+  post(message: ProcessMessage): void {
+    if (message.type === 'accept-over') this.listener.post({ type: 'close-listener' });
+    const over = this.timers.getNowMs() >= this.stopAtMs - EXIT_MARGIN_MS;
+    if (this.listener.countOpen() > 0 && !over) {
+      this.timers.subscribe({ mailbox: this, message: { type: 'drain-check' as const }, delayMs: DRAIN_CHECK_MS });
+      return;
+    }
+    this.log.write('process-stopped', { open: this.listener.countOpen() });
+    this.log.flush();
+    this.notifyEnded();
+  }
+
+  private deliver(output: DecisionOutput): void {
+    switch (output.type) {
+      case 'answer':
+      case 'refuse':
+      case 'limits-changed':
+        this.listener.post(output);
+        break;
+      case 'send-attempt':
+      case 'cancel-attempt':
+        this.connections.post(output);
+        break;
+      case 'read-snapshot':
+      case 'watch-changes':
+      case 'stop-reading':
+        this.reader.post(output);
+        break;
+      case 'fetch-news':
+        this.news.post(output);
+        break;
+      case 'send-heartbeat':
+        this.heartbeats.post(output);
+        break;
+      case 'log':
+        this.record(output.event, output.fields);
+        break;
+      // no default
+    }
+  }
+
+  private record(event: string, fields: gateway.callers.LogFields): void {
+    this.metrics.record(event, fields);
+    this.log.write(event, fields);
+  }
+
+  private static async listenOn(
+    listener: string,
+    socket: { readonly listen: () => Promise<neverthrow.Result<number, string>> },
+  ): Promise<neverthrow.Result<number, StartFailure>> {
+    return (await socket.listen()).mapErr((detail) => ({ type: 'port-unavailable', listener, detail }));
+  }
+}
--- /dev/null
+++ b/packages/front/src/vms/StructuredLog.ts
@@ -0,0 +1,118 @@
+import * as fs from 'node:fs';
+import type * as core from '@tamarackferry/core';
+import type * as gateway from '@tamarackferry/gateway';
+import * as consola from 'consola/basic';
+
+const STANDARD_OUTPUT = 1;
+
+// Lines of one event in one second; failures come first in an investigation, so that successes get less.
+const LINES_PER_EVENT = 40;
+const LINES_BY_EVENT: Readonly<Record<string, number>> = { 'request-answered': 5 };
+const LINES_PER_SECOND = 120;
+
+// A reader that does not keep up loses lines, but never delays a request.
+const MAX_BUFFERED_BYTES = 256 * 1024;
+const FLUSH_DELAY_MS = 200;
+const SECOND_MS = 1_000;
+
+/** Writes one JSON line for each event to the standard output, at a bounded rate and without blocking. */
+export class StructuredLog implements core.tasks.Mailbox<{ readonly type: 'flush' }> {
+  private readonly output = consola.createConsola({
+    level: 3, reporters: [{ log: (entry) => this.pushLine(JSON.stringify(entry.args[0])) }],
+  });
+
+  private lines: string[] = [];
+
+  private bufferedBytes = 0;
+
+  private state: 'idle' | 'scheduled' | 'writing' = 'idle';
+
+  private secondStartMs = 0;
+
+  private readonly written = new Map<string, number>();
+
+  private total = 0;
+
+  private omitted = 0;
+
+  /**
+   * @param timers - Timer service of the process.
+   * @param name - Name of the VM.
+   */
+  constructor(private readonly timers: core.time.TimerService, private readonly name: string) {}
+
+  /**
+   * Writes one line, unless the bound of its event or of all events is reached.
+   * @param event - Name of the event, listed in docs/OPERATIONS.md.
+   * @param fields - Further fields of the line.
+   */
+  write(event: string, fields: gateway.callers.LogFields): void {
+    const nowMs = this.timers.getNowMs();
+    if (nowMs - this.secondStartMs >= SECOND_MS) this.beginSecond(nowMs);
+    const count = this.written.get(event) ?? 0;
+    if (count >= (LINES_BY_EVENT[event] ?? LINES_PER_EVENT) || this.total >= LINES_PER_SECOND || this.bufferedBytes > MAX_BUFFERED_BYTES) {
+      this.omitted += 1;
+      return;
+    }
+    this.written.set(event, count + 1);
+    this.total += 1;
+    this.output.log({
+      ms: Math.round(nowMs), vm: this.name, event, ...fields,
+    });
+  }
+
+  /** Writes what is buffered before the process ends. */
+  flush(): void {
+    if (this.lines.length === 0) return;
+    try {
+      fs.writeSync(STANDARD_OUTPUT, this.takeLines());
+    } catch {
+      // The reader is gone or does not read; there is nowhere left to report it.
+    }
+  }
+
+  /** @internal */
+  post(): void {
+    if (this.lines.length === 0) {
+      this.state = 'idle';
+      return;
+    }
+    this.state = 'writing';
+    // Written by a thread of the pool, so that a full pipe does not hold up requests.
+    fs.write(STANDARD_OUTPUT, this.takeLines(), () => {
+      this.state = 'idle';
+      this.scheduleFlush();
+    });
+  }
+
+  private pushLine(line: string): void {
+    this.lines.push(line);
+    this.bufferedBytes += line.length;
+    this.scheduleFlush();
+  }
+
+  private scheduleFlush(): void {
+    if (this.state !== 'idle' || this.lines.length === 0) return;
+    this.state = 'scheduled';
+    this.timers.subscribe({ mailbox: this, message: { type: 'flush' as const }, delayMs: FLUSH_DELAY_MS });
+  }
+
+  private takeLines(): string {
+    const text = `${this.lines.join('\n')}\n`;
+    this.lines = [];
+    this.bufferedBytes = 0;
+    return text;
+  }
+
+  private beginSecond(nowMs: number): void {
+    this.secondStartMs = nowMs;
+    this.written.clear();
+    this.total = 0;
+    if (this.omitted === 0) return;
+    const { omitted } = this;
+    this.omitted = 0;
+    this.output.log({
+      ms: Math.round(nowMs), vm: this.name, event: 'lines-omitted', count: omitted,
+    });
+  }
+}
--- /dev/null
+++ b/packages/front/src/vms/index.ts
@@ -0,0 +1,5 @@
+export type * from './FrontDialects.js';
+export * from './FrontProcess.js';
+export type * from './FrontSettings.js';
+export * from './ReadinessListener.js';
+export * from './StructuredLog.js';
--- /dev/null
+++ b/packages/gateway/src/callers/AdmissionRule.ts
@@ -0,0 +1,47 @@
+/** Load of a service at the moment at which a request has to wait. */
+export interface ServiceLoad {
+  /** Slots of all instances that take requests. */
+  readonly slots: number;
+  /** Requests that go before this one. */
+  readonly ahead: number;
+  /** Typical time that a request holds a slot, in milliseconds. */
+  readonly serviceMs: number;
+}
+
+// Slots are shared with the other VMs that callers use; this share of them is counted on.
+const OWN_SHARE = 0.5;
+
+// A refused caller that returns at once finds the same queue.
+const MIN_RETRY_AFTER_MS = 100;
+const MAX_RETRY_AFTER_MS = 3_000;
+
+/** Decides whether a request that finds no free slot may wait, and when a refused one should come back. */
+export class AdmissionRule {
+  /**
+   * Estimates the time until a slot is free for the request, in milliseconds.
+   * @param load - Load of the service.
+   */
+  estimateWaitMs(load: ServiceLoad): number {
+    if (load.slots === 0) return Infinity;
+    return ((load.ahead + 1) * load.serviceMs) / Math.max(1, load.slots * OWN_SHARE);
+  }
+
+  /**
+   * Decides about waiting: a request that cannot be served in its time is refused at once.
+   * @param load - Load of the service.
+   * @param leftMs - Time that the request has left, in milliseconds.
+   */
+  decide(load: ServiceLoad, leftMs: number): 'wait' | 'refuse' {
+    return this.estimateWaitMs(load) + load.serviceMs > leftMs ? 'refuse' : 'wait';
+  }
+
+  /**
+   * Computes the time after which a refused caller should come back, in milliseconds.
+   * @param load - Load of the service.
+   * @param fraction - Random number from 0 to below 1, which spreads the returns.
+   */
+  computeRetryAfterMs(load: ServiceLoad, fraction: number): number {
+    const drainMs = Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, this.estimateWaitMs(load)));
+    return drainMs * (0.5 + fraction);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/callers/RoutedRequestMessage.ts
@@ -0,0 +1,17 @@
+import type * as configuration from '../contracts/Configuration.js';
+import type * as attemptEnding from '../upstreams/AttemptEnding.js';
+import type * as instanceRecord from '../upstreams/InstanceRecord.js';
+import type * as requestArrival from './RequestArrival.js';
+
+/** Message to the `RoutedRequestTask`. */
+export type RoutedRequestMessage =
+  | { readonly type: 'request-arrived'; readonly arrival: requestArrival.RequestArrival }
+  | { readonly type: 'caller-gone'; readonly requestId: string }
+  | { readonly type: 'attempt-ended'; readonly attemptId: string; readonly ending: attemptEnding.AttemptEnding }
+  | { readonly type: 'configuration-changed'; readonly configuration: configuration.Configuration }
+  | { readonly type: 'instances-changed'; readonly records: readonly instanceRecord.InstanceRecord[] }
+  // Whether the configuration was lately confirmed by the store or by a peer.
+  | { readonly type: 'catalog-state'; readonly state: 'current' | 'stale' }
+  | { readonly type: 'deadline-reached'; readonly requestId: string }
+  | { readonly type: 'hedge-due'; readonly requestId: string }
+  | { readonly type: 'queue-check' };
--- /dev/null
+++ b/packages/gateway/src/callers/RoutedRequestTask.ts
@@ -0,0 +1,420 @@
+import * as core from '@tamarackferry/core';
+
+import type * as configuration from '../contracts/Configuration.js';
+import * as routeTable from '../contracts/RouteTable.js';
+import * as trafficSplit from '../contracts/TrafficSplit.js';
+import type * as attemptEnding from '../upstreams/AttemptEnding.js';
+import * as durationSamples from '../upstreams/DurationSamples.js';
+import type * as instanceRecord from '../upstreams/InstanceRecord.js';
+import type * as pooledInstance from '../upstreams/PooledInstance.js';
+import * as admissionRule from './AdmissionRule.js';
+import type * as gatewayOutput from './GatewayOutput.js';
+import type * as repeatBudget from './RepeatBudget.js';
+import type * as requestArrival from './RequestArrival.js';
+import * as routedRequest from './RoutedRequest.js';
+import type * as routedRequestMessage from './RoutedRequestMessage.js';
+import * as serviceDesk from './ServiceDesk.js';
+
+// Requests that wait are looked at this often, so that one that can no longer be served is refused.
+const QUEUE_CHECK_MS = 40;
+
+// A request that may be repeated is sent to a second instance when it takes longer than this share of the answers of its route.
+const HEDGE_QUANTILE = 0.93;
+const MIN_HEDGE_MS = 20;
+
+// A repeat that could not end in time would only take a slot.
+const REPEAT_TIME_QUANTILE = 0.5;
+
+// Deadline of callers that state none, in milliseconds; the time-out of the route bounds it further.
+const DEFAULT_DEADLINE_MS = 30_000;
+
+// Connections of this VM to one instance, as a share of what the instance accepts: others must find room too.
+const CONNECTION_SHARE = 0.25;
+
+/** Options of a `RoutedRequestTask`. */
+export interface RoutedRequestTaskOptions {
+  readonly scheduler: core.tasks.TaskScheduler;
+  readonly timers: core.time.TimerService;
+  readonly random: core.randomness.RandomSource;
+  readonly outbox: core.tasks.Mailbox<gatewayOutput.GatewayOutput>;
+  /** Place of the VM. */
+  readonly place: string;
+  /** Share of this VM in the repeats that all VMs may send. */
+  readonly budget: repeatBudget.RepeatBudgetOptions;
+}
+
+/** Owns the requests of callers from arrival to answer, and decides where each is sent, whether it waits and whether it is repeated. */
+export class RoutedRequestTask extends core.tasks.Task<routedRequestMessage.RoutedRequestMessage> {
+  private readonly requests = new Map<string, routedRequest.RoutedRequest>();
+
+  private readonly attempts = new Map<string, routedRequest.RoutedRequest>();
+
+  private readonly desks = new Map<string, serviceDesk.ServiceDesk>();
+
+  private readonly durations = new Map<string, durationSamples.DurationSamples>();
+
+  private splits = new Map<string, trafficSplit.TrafficSplit>();
+
+  private routes: routeTable.RouteTable | undefined;
+
+  private catalogState: 'current' | 'stale' = 'stale';
+
+  private readonly admission = new admissionRule.AdmissionRule();
+
+  private nextAttempt = 0;
+
+  private queueTimer: core.time.TimerSubscription | undefined;
+
+  /** @param options - Surroundings of the task. */
+  constructor(private readonly options: RoutedRequestTaskOptions) {
+    super(options.scheduler);
+  }
+
+  /** Counts the requests in progress. */
+  countRequests(): number {
+    return this.requests.size;
+  }
+
+  /** Lists the services with what the VM keeps for each. */
+  listDesks(): readonly (readonly [string, serviceDesk.ServiceDesk])[] {
+    return [...this.desks];
+  }
+
+  /** @internal */
+  override handle(message: routedRequestMessage.RoutedRequestMessage): void {
+    switch (message.type) {
+      case 'request-arrived':
+        this.beginRequest(message.arrival);
+        break;
+      case 'caller-gone':
+        this.handleCallerGone(message.requestId);
+        break;
+      case 'attempt-ended':
+        this.handleAttemptEnd(message.attemptId, message.ending);
+        break;
+      case 'configuration-changed':
+        this.applyConfiguration(message.configuration);
+        break;
+      case 'instances-changed':
+        this.applyInstances(message.records);
+        break;
+      case 'catalog-state':
+        this.catalogState = message.state;
+        break;
+      case 'deadline-reached':
+        this.handleDeadline(message.requestId);
+        break;
+      case 'hedge-due':
+        this.handleHedge(message.requestId);
+        break;
+      case 'queue-check':
+        this.queueTimer = undefined;
+        this.desks.forEach((desk) => this.serveQueue(desk));
+        break;
+      // no default
+    }
+  }
+
+  private beginRequest(arrival: requestArrival.RequestArrival): void {
+    const found = this.routes?.getRoute(arrival.host, arrival.path);
+    if (found === undefined) {
+      // A route that this VM has not heard of may exist while its configuration is not known to be current.
+      this.refuseArrival(arrival, this.routes === undefined || this.catalogState === 'stale' ? 'no-configuration' : 'no-route');
+      return;
+    }
+    const service = this.getSplit(found.name, found.targets).chooseService();
+    const nowMs = this.options.timers.getNowMs();
+    if (service === undefined) {
+      this.refuseArrival(arrival, 'no-instance');
+      return;
+    }
+    const waitMs = Math.min(found.timeoutMs, arrival.deadlineMs ?? DEFAULT_DEADLINE_MS);
+    const request = new routedRequest.RoutedRequest({
+      arrival,
+      route: found,
+      service,
+      durations: this.getDurations(found.name, found.objectiveMs),
+      deadlineAtMs: arrival.arrivedAtMs + waitMs,
+    });
+    const desk = this.getDesk(service);
+    desk.budget.addRequest(nowMs);
+    this.requests.set(arrival.requestId, request);
+    this.subscribe(request, 'deadline-reached', Math.max(0, request.computeLeftMs(nowMs)));
+    if (desk.queue.countBefore(request) === 0 && this.sendAttempt(request, desk)) return;
+    this.enqueueRequest(request, desk);
+  }
+
+  private enqueueRequest(request: routedRequest.RoutedRequest, desk: serviceDesk.ServiceDesk): void {
+    const load = this.buildLoad(request, desk);
+    if (this.admission.decide(load, request.computeLeftMs(this.options.timers.getNowMs())) === 'refuse') {
+      this.refuse(request, desk.pool.countSlots() === 0 ? 'no-instance' : 'overloaded');
+      return;
+    }
+    request.state = 'waiting';
+    desk.queue.add(request);
+    this.startQueueTimer();
+  }
+
+  private serveQueue(desk: serviceDesk.ServiceDesk): void {
+    const nowMs = this.options.timers.getNowMs();
+    desk.queue.listWaiting().forEach((request) => {
+      const { durations } = request.options;
+      if (request.computeLeftMs(nowMs) < durations.estimateQuantile(REPEAT_TIME_QUANTILE)) {
+        desk.queue.remove(request);
+        this.refuse(request, 'overloaded');
+      } else if (this.sendAttempt(request, desk)) desk.queue.remove(request);
+    });
+    if (desk.queue.countWaiting() > 0) this.startQueueTimer();
+  }
+
+  private sendAttempt(request: routedRequest.RoutedRequest, desk: serviceDesk.ServiceDesk): boolean {
+    const { options } = request;
+    const nowMs = this.options.timers.getNowMs();
+    const chosen = desk.pool.chooseInstance(options.route.kind, request.listTried(), nowMs);
+    if (chosen === undefined) return false;
+    this.nextAttempt += 1;
+    const attemptId = String(this.nextAttempt);
+    request.attempts.push({
+      attemptId, instance: chosen, sentAtMs: nowMs, state: 'open',
+    });
+    request.state = 'sent';
+    this.attempts.set(attemptId, request);
+    chosen.begin(attemptId, nowMs, options.durations);
+    this.options.outbox.post({
+      type: 'send-attempt',
+      attemptId,
+      arrival: options.arrival,
+      instance: chosen.getRecord(),
+      deadlineMs: Math.max(1, Math.floor(Math.min(request.computeLeftMs(nowMs), this.computeCallerLeftMs(request, nowMs)))),
+      connectionLimit: Math.max(2, Math.floor(desk.maxConnections * CONNECTION_SHARE)),
+    });
+    if (options.route.kind === 'idempotent' && request.attempts.length < options.route.maxAttempts) {
+      this.subscribe(request, 'hedge-due', Math.max(MIN_HEDGE_MS, options.durations.estimateQuantile(HEDGE_QUANTILE)));
+    }
+    return true;
+  }
+
+  private handleHedge(requestId: string): void {
+    const request = this.requests.get(requestId);
+    if (request === undefined || request.state !== 'sent') return;
+    this.retryRequest(request);
+  }
+
+  private handleAttemptEnd(attemptId: string, ending: attemptEnding.AttemptEnding): void {
+    const request = this.attempts.get(attemptId);
+    const attempt = request?.attempts.find((candidate) => candidate.attemptId === attemptId);
+    if (request === undefined || attempt === undefined) return;
+    this.attempts.delete(attemptId);
+    attempt.state = 'ended';
+    attempt.instance.end(attemptId, ending, this.options.timers.getNowMs());
+    this.logAttempt(request, attempt, ending);
+    if (request.state !== 'ended') this.settleRequest(request, ending);
+    this.serveQueue(this.getDesk(request.options.service));
+  }
+
+  private settleRequest(request: routedRequest.RoutedRequest, ending: attemptEnding.AttemptEnding): void {
+    const { kind } = request.options.route;
+    switch (ending.type) {
+      case 'answered':
+        if (kind === 'idempotent' && ending.answer.status >= 500) {
+          request.failedAnswer = ending.answer;
+          if (request.hasOpenAttempt() || this.retryRequest(request)) return;
+        }
+        this.answer(request, ending.answer);
+        return;
+      case 'not-run':
+      case 'misdirected':
+      case 'unsent':
+        if (request.hasOpenAttempt() || this.retryRequest(request)) return;
+        break;
+      default:
+        request.evidence = 'may-have-run';
+        if (kind === 'idempotent' && (request.hasOpenAttempt() || this.retryRequest(request))) return;
+        break;
+    }
+    if (request.failedAnswer !== undefined) this.answer(request, request.failedAnswer);
+    else this.refuse(request, request.evidence === 'may-have-run' ? 'unknown' : 'overloaded');
+  }
+
+  // Sends the request to a further instance, if its route, the time left and the budget permit.
+  private retryRequest(request: routedRequest.RoutedRequest): boolean {
+    const { route, service, durations } = request.options;
+    const nowMs = this.options.timers.getNowMs();
+    if (request.attempts.length >= route.maxAttempts) return false;
+    if (request.computeLeftMs(nowMs) < durations.estimateQuantile(REPEAT_TIME_QUANTILE)) return false;
+    const desk = this.getDesk(service);
+    return desk.pool.chooseInstance(route.kind, request.listTried(), nowMs) !== undefined
+      && desk.budget.take(nowMs)
+      && this.sendAttempt(request, desk);
+  }
+
+  private handleDeadline(requestId: string): void {
+    const request = this.requests.get(requestId);
+    if (request === undefined) return;
+    if (request.failedAnswer !== undefined) this.answer(request, request.failedAnswer);
+    else if (request.attempts.length === 0) this.refuse(request, 'too-late');
+    else this.refuse(request, request.hasOpenAttempt() || request.evidence === 'may-have-run' ? 'timed-out' : 'too-late');
+  }
+
+  private handleCallerGone(requestId: string): void {
+    const request = this.requests.get(requestId);
+    if (request === undefined) return;
+    this.log('request-abandoned', request, { attempts: request.attempts.length });
+    this.endRequest(request);
+  }
+
+  private answer(request: routedRequest.RoutedRequest, answer: attemptEnding.InstanceAnswer): void {
+    this.options.outbox.post({ type: 'answer', requestId: request.options.arrival.requestId, answer });
+    this.log('request-answered', request, { status: answer.status, attempts: request.attempts.length });
+    this.endRequest(request);
+  }
+
+  private refuse(request: routedRequest.RoutedRequest, reason: requestArrival.RefusalReason): void {
+    const desk = this.getDesk(request.options.service);
+    const load = this.buildLoad(request, desk);
+    this.options.outbox.post({
+      type: 'refuse',
+      requestId: request.options.arrival.requestId,
+      reason,
+      retryAfterMs: this.admission.computeRetryAfterMs(load, this.options.random.drawFraction()),
+    });
+    this.log('request-refused', request, {
+      reason, attempts: request.attempts.length, waiting: load.ahead, slots: load.slots, serviceMs: Math.round(load.serviceMs),
+    });
+    this.endRequest(request);
+  }
+
+  private refuseArrival(arrival: requestArrival.RequestArrival, reason: requestArrival.RefusalReason): void {
+    this.options.outbox.post({
+      type: 'refuse', requestId: arrival.requestId, reason, retryAfterMs: reason === 'no-route' ? undefined : 500 + 500 * this.options.random.drawFraction(),
+    });
+    this.options.outbox.post({
+      type: 'log',
+      event: 'request-refused',
+      fields: {
+        id: arrival.callerRequestId, reason, host: arrival.host, path: arrival.path,
+      },
+    });
+  }
+
+  private endRequest(request: routedRequest.RoutedRequest): void {
+    if (request.state === 'waiting') this.getDesk(request.options.service).queue.remove(request);
+    request.state = 'ended';
+    request.cancelTimers();
+    this.requests.delete(request.options.arrival.requestId);
+    request.attempts.filter((attempt) => attempt.state === 'open').forEach((attempt) => {
+      this.options.outbox.post({ type: 'cancel-attempt', attemptId: attempt.attemptId });
+    });
+  }
+
+  private applyConfiguration(applied: configuration.Configuration): void {
+    this.routes = new routeTable.RouteTable(applied.routes);
+    this.splits = new Map();
+    applied.services.forEach((service) => {
+      this.getDesk(service.name).maxConnections = service.maxConnections;
+    });
+    this.options.outbox.post({ type: 'limits-changed', limits: applied.limits });
+  }
+
+  private applyInstances(records: readonly instanceRecord.InstanceRecord[]): void {
+    const nowMs = this.options.timers.getNowMs();
+    const byService = new Map<string, instanceRecord.InstanceRecord[]>();
+    records.forEach((record) => {
+      const listed = byService.get(record.service);
+      if (listed === undefined) byService.set(record.service, [record]);
+      else listed.push(record);
+    });
+    byService.forEach((_, service) => this.getDesk(service));
+    this.desks.forEach((desk, service) => {
+      desk.pool.setInstances(byService.get(service) ?? [], nowMs);
+      this.serveQueue(desk);
+    });
+  }
+
+  private getDesk(service: string): serviceDesk.ServiceDesk {
+    const known = this.desks.get(service);
+    if (known !== undefined) return known;
+    const { place, random, budget } = this.options;
+    const opened = new serviceDesk.ServiceDesk({ pool: { service, place, random }, budget });
+    this.desks.set(service, opened);
+    return opened;
+  }
+
+  private getSplit(routeName: string, targets: routedRequest.RoutedRequestOptions['route']['targets']): trafficSplit.TrafficSplit {
+    const known = this.splits.get(routeName);
+    if (known !== undefined) return known;
+    const opened = new trafficSplit.TrafficSplit(targets);
+    opened.advance(this.options.random.drawFraction());
+    this.splits.set(routeName, opened);
+    return opened;
+  }
+
+  private getDurations(routeName: string, objectiveMs: number): durationSamples.DurationSamples {
+    const known = this.durations.get(routeName);
+    if (known !== undefined) return known;
+    const opened = new durationSamples.DurationSamples(objectiveMs);
+    this.durations.set(routeName, opened);
+    return opened;
+  }
+
+  private buildLoad(request: routedRequest.RoutedRequest, desk: serviceDesk.ServiceDesk): admissionRule.ServiceLoad {
+    return {
+      slots: desk.pool.countSlots(),
+      ahead: desk.queue.countBefore(request),
+      serviceMs: request.options.durations.estimateQuantile(REPEAT_TIME_QUANTILE),
+    };
+  }
+
+  private computeCallerLeftMs(request: routedRequest.RoutedRequest, nowMs: number): number {
+    const { arrival } = request.options;
+    return arrival.deadlineMs === undefined ? Infinity : arrival.arrivedAtMs + arrival.deadlineMs - nowMs;
+  }
+
+  private subscribe(request: routedRequest.RoutedRequest, type: 'deadline-reached' | 'hedge-due', delayMs: number): void {
+    request.timers.push(this.options.timers.subscribe({
+      mailbox: this, message: { type, requestId: request.options.arrival.requestId }, delayMs,
+    }));
+  }
+
+  private startQueueTimer(): void {
+    this.queueTimer ??= this.options.timers.subscribe({ mailbox: this, message: { type: 'queue-check' as const }, delayMs: QUEUE_CHECK_MS });
+  }
+
+  private logAttempt(
+    request: routedRequest.RoutedRequest,
+    attempt: routedRequest.RoutedAttempt,
+    ending: attemptEnding.AttemptEnding,
+  ): void {
+    if (ending.type === 'answered' && ending.answer.status < 500) return;
+    this.log('attempt-failed', request, {
+      ...RoutedRequestTask.describeInstance(attempt.instance, this.options.timers.getNowMs()),
+      ending: ending.type,
+      status: ending.type === 'answered' ? ending.answer.status : undefined,
+      ageMs: Math.round(this.options.timers.getNowMs() - attempt.sentAtMs),
+    });
+  }
+
+  private log(event: string, request: routedRequest.RoutedRequest, fields: gatewayOutput.LogFields): void {
+    const { arrival, route, service } = request.options;
+    this.options.outbox.post({
+      type: 'log',
+      event,
+      fields: {
+        id: arrival.callerRequestId,
+        route: route.name,
+        service,
+        elapsedMs: Math.round(this.options.timers.getNowMs() - arrival.arrivedAtMs),
+        ...fields,
+      },
+    });
+  }
+
+  private static describeInstance(instance: pooledInstance.PooledInstance, nowMs: number): gatewayOutput.LogFields {
+    return {
+      instance: instance.getRecord().id,
+      place: instance.getRecord().place,
+      failure: Number(instance.estimateFailure(nowMs).toFixed(3)),
+      inFlight: instance.countInFlight(),
+    };
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/contracts/CatalogTask.ts
@@ -0,0 +1,277 @@
+import * as core from '@tamarackferry/core';
+
+import type * as gatewayOutput from '../callers/GatewayOutput.js';
+import type * as routedRequestMessage from '../callers/RoutedRequestMessage.js';
+import type * as membershipMessage from '../vms/MembershipMessage.js';
+import * as catalog from './Catalog.js';
+import type * as catalogChange from './CatalogChange.js';
+import type * as catalogMessage from './CatalogMessage.js';
+import * as retainedInstances from './RetainedInstances.js';
+
+// A watch that goes silent is noticed after this time, so it must stay well below the time in which a change has to be in force.
+const WATCH_WAIT_MS = 2_000;
+
+// Changes that come in one after the other are read together: each answer of a watch is a call.
+const WATCH_PAUSE_MS = 60;
+
+// A follower without confirmed news for this long reads the store itself.
+const FOLLOWER_PATIENCE_MS = 3_000;
+
+// Time that a starting VM gives its peers before it reads the store itself.
+const START_PATIENCE_MS = 300;
+
+// A confirmation older than this does not prove that a route is unknown.
+const CURRENT_SPAN_MS = 4_000;
+
+const CHECK_PERIOD_MS = 500;
+const MIN_BACKOFF_MS = 100;
+// The store counts as stable three seconds after an outage; a reader has to be back by then.
+const MAX_BACKOFF_MS = 1_000;
+
+// A follower that reads the store by itself goes on for this long before it relies on peers again.
+const SUBSTITUTE_SPAN_MS = 6_000;
+
+/** Options of a `CatalogTask`. */
+export interface CatalogTaskOptions {
+  readonly scheduler: core.tasks.TaskScheduler;
+  readonly timers: core.time.TimerService;
+  readonly random: core.randomness.RandomSource;
+  readonly outbox: core.tasks.Mailbox<catalogMessage.CatalogOutput | gatewayOutput.GatewayOutput>;
+  readonly requests: core.tasks.Mailbox<routedRequestMessage.RoutedRequestMessage>;
+  readonly membership: core.tasks.Mailbox<membershipMessage.MembershipMessage>;
+}
+
+/** Owns what the VM knows of configuration and instances, and decides when it reads the store and when it relies on peers. */
+export class CatalogTask extends core.tasks.Task<catalogMessage.CatalogMessage> {
+  private readonly catalog = new catalog.Catalog();
+
+  private readonly retained = new retainedInstances.RetainedInstances();
+
+  private role: 'watcher' | 'follower' = 'follower';
+
+  // What the VM is doing at the store.
+  private reading: 'idle' | 'snapshot' | 'watching' | 'waiting' = 'idle';
+
+  private storeState: 'unknown' | 'reached' | 'lost' = 'unknown';
+
+  private known: 'nothing' | 'snapshot' = 'nothing';
+
+  private confirmedAtMs = -Infinity;
+
+  private announcedState: 'current' | 'stale' = 'stale';
+
+  private substituteUntilMs = -Infinity;
+
+  private startedAtMs = 0;
+
+  private backoffMs = MIN_BACKOFF_MS;
+
+  private readonly fetching = new Map<string, number>();
+
+  private readonly timers: core.time.TimerSubscription[] = [];
+
+  /** @param options - Surroundings of the task. */
+  constructor(private readonly options: CatalogTaskOptions) {
+    super(options.scheduler);
+  }
+
+  /** Describes what the VM believes, for gauges. */
+  describe(): { readonly version: number; readonly revision: number; readonly confirmedAgeMs: number; readonly instances: number } {
+    return {
+      version: this.catalog.getConfiguration()?.version ?? 0,
+      revision: this.catalog.getRevision(),
+      confirmedAgeMs: this.options.timers.getNowMs() - this.confirmedAtMs,
+      instances: this.catalog.listInstances().length,
+    };
+  }
+
+  /** @internal */
+  override handle(message: catalogMessage.CatalogMessage): void {
+    switch (message.type) {
+      case 'start':
+        this.startedAtMs = this.options.timers.getNowMs();
+        this.timers.push(this.options.timers.subscribe({
+          mailbox: this, message: { type: 'check' as const }, delayMs: START_PATIENCE_MS, periodMs: CHECK_PERIOD_MS,
+        }));
+        break;
+      case 'stop':
+        this.timers.forEach((timer) => timer.cancel());
+        this.options.outbox.post({ type: 'stop-reading' });
+        break;
+      case 'role-chosen':
+        this.role = message.role;
+        this.readIfNeeded();
+        break;
+      case 'snapshot-read':
+        this.handleReached();
+        this.finishReading(this.catalog.applySnapshot(message.snapshot), 'store');
+        this.scheduleRead(0);
+        break;
+      case 'changes-read':
+        this.handleReached();
+        this.finishReading(this.catalog.applyChanges(message.changes, message.revision), 'store');
+        this.scheduleRead(message.changes.length === 0 ? 0 : WATCH_PAUSE_MS);
+        break;
+      case 'history-lost':
+        this.log('store-history-lost', {});
+        this.reading = 'snapshot';
+        this.options.outbox.post({ type: 'read-snapshot' });
+        break;
+      case 'read-failed':
+        this.handleFailure(message.reason, message.detail);
+        break;
+      case 'peer-heard':
+        this.handlePeer(message);
+        break;
+      case 'peer-news':
+        this.handleNews(message.host, message.news);
+        break;
+      case 'peer-unreached':
+        this.fetching.delete(message.host);
+        break;
+      case 'news-requested':
+        message.replyTo.post(this.buildNews(message.afterRevision));
+        break;
+      case 'read-due':
+        this.reading = 'idle';
+        this.readIfNeeded();
+        break;
+      case 'check':
+        this.checkAge();
+        break;
+      // no default
+    }
+  }
+
+  private readIfNeeded(): void {
+    if (this.reading !== 'idle') return;
+    const nowMs = this.options.timers.getNowMs();
+    const patient = nowMs - Math.max(this.confirmedAtMs, this.startedAtMs) <= (this.known === 'nothing' ? START_PATIENCE_MS : FOLLOWER_PATIENCE_MS);
+    if (this.role === 'follower' && patient && nowMs >= this.substituteUntilMs) return;
+    if (this.role === 'follower' && !patient) this.substituteUntilMs = nowMs + SUBSTITUTE_SPAN_MS;
+    if (this.known === 'nothing') {
+      this.reading = 'snapshot';
+      this.options.outbox.post({ type: 'read-snapshot' });
+      return;
+    }
+    this.reading = 'watching';
+    this.options.outbox.post({ type: 'watch-changes', afterRevision: this.catalog.getRevision(), waitMs: WATCH_WAIT_MS });
+  }
+
+  private scheduleRead(delayMs: number): void {
+    this.reading = 'waiting';
+    this.options.timers.subscribe({ mailbox: this, message: { type: 'read-due' as const }, delayMs });
+  }
+
+  private handleReached(): void {
+    this.backoffMs = MIN_BACKOFF_MS;
+    if (this.storeState !== 'reached') this.log('store-reached', { revision: this.catalog.getRevision() });
+    this.storeState = 'reached';
+  }
+
+  private handleFailure(reason: catalogMessage.ReadFailureReason, detail: string): void {
+    if (this.storeState !== 'lost') this.log('store-lost', { reason, detail, confirmedAgeMs: this.computeConfirmedAgeMs() });
+    this.storeState = 'lost';
+    // Jitter keeps the VMs from returning to the store at the same moment.
+    this.scheduleRead(this.backoffMs * (0.5 + this.options.random.drawFraction()));
+    this.backoffMs = Math.min(MAX_BACKOFF_MS, this.backoffMs * 2);
+  }
+
+  private handlePeer(heard: Extract<catalogMessage.CatalogMessage, { type: 'peer-heard' }>): void {
+    const nowMs = this.options.timers.getNowMs();
+    if (this.known === 'snapshot' && heard.revision <= this.catalog.getRevision()) {
+      if (heard.revision === this.catalog.getRevision()) this.recordConfirmation(nowMs - heard.confirmedAgeMs);
+      return;
+    }
+    if (heard.revision === 0 || nowMs - (this.fetching.get(heard.host) ?? -Infinity) < CHECK_PERIOD_MS) return;
+    this.fetching.set(heard.host, nowMs);
+    this.options.outbox.post({
+      type: 'fetch-news', host: heard.host, afterRevision: this.known === 'nothing' ? -1 : this.catalog.getRevision(),
+    });
+  }
+
+  private handleNews(host: string, news: catalogMessage.CatalogNews): void {
+    this.fetching.delete(host);
+    const effects = news.type === 'snapshot'
+      ? this.catalog.applySnapshot(news.snapshot)
+      : this.catalog.applyChanges(news.changes, news.revision);
+    this.finishReading(effects, 'peer', this.options.timers.getNowMs() - news.confirmedAgeMs);
+  }
+
+  private finishReading(effects: ReadonlySet<catalog.CatalogEffect>, source: 'store' | 'peer', confirmedAtMs = this.options.timers.getNowMs()): void {
+    const first = this.known === 'nothing';
+    this.known = 'snapshot';
+    this.recordConfirmation(confirmedAtMs);
+    const current = this.catalog.getConfiguration();
+    if (effects.has('configuration') && current !== undefined) {
+      this.options.requests.post({ type: 'configuration-changed', configuration: current });
+      this.log('configuration-in-force', { version: current.version, revision: this.catalog.getRevision(), source });
+    }
+    if (effects.has('instances')) this.publishInstances(source);
+    if (effects.size > 0 || first) this.announceRevision('changed');
+  }
+
+  private publishInstances(source: 'store' | 'peer' | 'lapse'): void {
+    const nowMs = this.options.timers.getNowMs();
+    const used = this.retained.listUsed(this.catalog.listInstances(), nowMs);
+    this.options.requests.post({ type: 'instances-changed', records: used });
+    this.log('instances-changed', {
+      count: used.length, draining: used.filter((record) => record.state === 'draining').length, revision: this.catalog.getRevision(), source,
+    });
+    const leftMs = this.retained.computeLeftMs(nowMs);
+    if (leftMs !== undefined) this.options.timers.subscribe({ mailbox: this, message: { type: 'check' as const }, delayMs: leftMs + 1 });
+  }
+
+  private recordConfirmation(confirmedAtMs: number): void {
+    if (confirmedAtMs <= this.confirmedAtMs) return;
+    const nowMs = this.options.timers.getNowMs();
+    this.retained.recordReturn(confirmedAtMs - this.confirmedAtMs, nowMs);
+    this.confirmedAtMs = confirmedAtMs;
+    this.announceRevision('same');
+    this.announceState();
+  }
+
+  private checkAge(): void {
+    this.announceState();
+    const leftMs = this.retained.computeLeftMs(this.options.timers.getNowMs());
+    if (leftMs === 0) this.publishInstances('lapse');
+    this.readIfNeeded();
+  }
+
+  private announceState(): void {
+    const state = this.computeConfirmedAgeMs() <= CURRENT_SPAN_MS ? 'current' : 'stale';
+    if (state === this.announcedState) return;
+    this.announcedState = state;
+    this.options.requests.post({ type: 'catalog-state', state });
+    this.log(state === 'current' ? 'catalog-current' : 'catalog-stale', { revision: this.catalog.getRevision() });
+  }
+
+  private announceRevision(extent: 'changed' | 'same'): void {
+    this.options.membership.post({
+      type: 'catalog-read',
+      revision: this.catalog.getRevision(),
+      confirmedAtMs: this.confirmedAtMs,
+      extent,
+      configuration: this.catalog.getConfiguration() === undefined ? 'missing' : 'known',
+    });
+  }
+
+  private buildNews(afterRevision: number): catalogMessage.CatalogNews {
+    const confirmedAgeMs = this.computeConfirmedAgeMs();
+    const changes: catalogChange.CatalogChange[] | undefined = afterRevision < 0 ? undefined : this.catalog.listChangesAfter(afterRevision);
+    return changes === undefined
+      ? { type: 'snapshot', confirmedAgeMs, snapshot: this.catalog.buildSnapshot() }
+      : {
+        type: 'changes', confirmedAgeMs, revision: this.catalog.getRevision(), changes,
+      };
+  }
+
+  private computeConfirmedAgeMs(): number {
+    // JSON has no infinity.
+    return Math.min(1e9, Math.round(this.options.timers.getNowMs() - this.confirmedAtMs));
+  }
+
+  private log(event: string, fields: gatewayOutput.LogFields): void {
+    this.options.outbox.post({ type: 'log', event, fields });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/contracts/Route.ts
@@ -0,0 +1,27 @@
+/** Whether a request may run more than once. */
+export type RequestKind = 'idempotent' | 'non-idempotent';
+
+/** Service that gets a share of the requests of a route. */
+export interface RouteTarget {
+  readonly service: string;
+  /** Share relative to the weights of the other targets of the route. */
+  readonly weight: number;
+}
+
+/** Declares how the requests of one host and path prefix are handled. */
+export interface Route {
+  readonly name: string;
+  readonly host: string;
+  /** Start of the paths, beginning and ending with a slash. */
+  readonly prefix: string;
+  readonly kind: RequestKind;
+  /** Longest time that a caller is kept waiting, in milliseconds. */
+  readonly timeoutMs: number;
+  /** Latency objective, in milliseconds. */
+  readonly objectiveMs: number;
+  /** Greatest number of instances that one request is sent to. */
+  readonly maxAttempts: number;
+  /** Rank of the route, 0 being the most urgent. */
+  readonly rank: number;
+  readonly targets: readonly RouteTarget[];
+}
--- /dev/null
+++ b/packages/gateway/src/upstreams/ServicePool.ts
@@ -0,0 +1,92 @@
+import type * as core from '@tamarackferry/core';
+
+import type * as route from '../contracts/Route.js';
+import * as exploringPlacement from './ExploringPlacement.js';
+import type * as instanceRecord from './InstanceRecord.js';
+import type * as placementPolicy from './PlacementPolicy.js';
+import * as pooledInstance from './PooledInstance.js';
+import * as provenPlacement from './ProvenPlacement.js';
+
+// Instances whose failure is more likely than this get no request that cannot be repeated while the bound on leaving out permits.
+const HOPELESS_FAILURE = 0.5;
+
+/** Options of a `ServicePool`. */
+export interface ServicePoolOptions {
+  readonly service: string;
+  /** Place of the VM. */
+  readonly place: string;
+  readonly random: core.randomness.RandomSource;
+}
+
+/** Instances of one service, as one VM uses them. */
+export class ServicePool {
+  private readonly instances = new Map<string, pooledInstance.PooledInstance>();
+
+  private readonly policies: Readonly<Record<route.RequestKind, placementPolicy.PlacementPolicy>> = {
+    idempotent: new exploringPlacement.ExploringPlacement(),
+    'non-idempotent': new provenPlacement.ProvenPlacement(),
+  };
+
+  /** @param options - Service and place. */
+  constructor(private readonly options: ServicePoolOptions) {}
+
+  /**
+   * Takes the published instances of the service.
+   * @param records - Entries of the service.
+   * @param nowMs - Time of the reading.
+   */
+  setInstances(records: readonly instanceRecord.InstanceRecord[], nowMs: number): void {
+    const published = new Set(records.map((record) => record.id));
+    [...this.instances.keys()].filter((id) => !published.has(id)).forEach((id) => this.instances.delete(id));
+    records.forEach((record) => {
+      const known = this.instances.get(record.id);
+      if (known === undefined) this.instances.set(record.id, new pooledInstance.PooledInstance(record, nowMs));
+      else if (known.getRecord() !== record) known.update(record, nowMs);
+    });
+  }
+
+  /** Counts the slots of the instances that take new requests. */
+  countSlots(): number {
+    return [...this.instances.values()].reduce((sum, instance) => sum + (ServicePool.isOpen(instance) ? instance.getRecord().slots : 0), 0);
+  }
+
+  /** Lists the instances. */
+  listInstances(): readonly pooledInstance.PooledInstance[] {
+    return [...this.instances.values()];
+  }
+
+  /**
+   * Chooses an instance with room, or undefined if there is none.
+   * @param kind - Kind of the request.
+   * @param tried - Ids of the instances that the request was sent to before.
+   * @param nowMs - Present time.
+   */
+  chooseInstance(kind: route.RequestKind, tried: readonly string[], nowMs: number): pooledInstance.PooledInstance | undefined {
+    const policy = this.policies[kind];
+    let best: pooledInstance.PooledInstance | undefined;
+    let bestCost = Infinity;
+    // A loop, since this scan runs for each request.
+    this.instances.forEach((instance) => {
+      const record = instance.getRecord();
+      const load = instance.estimateLoad(nowMs) / record.slots;
+      if (!ServicePool.isOpen(instance) || load > 1 - 0.5 / record.slots || tried.includes(record.id)) return;
+      const failure = instance.estimateFailure(nowMs);
+      if (kind === 'non-idempotent' && failure > HOPELESS_FAILURE) return;
+      const cost = policy.computeCost({
+        failure,
+        load,
+        distance: record.place === this.options.place ? 'same-place' : 'other-place',
+        condition: instance.isWarming(nowMs) ? 'warming' : 'warm',
+        idleMs: instance.computeIdleMs(nowMs),
+      }) + this.options.random.drawFraction() * 1e-4;
+      if (cost >= bestCost) return;
+      best = instance;
+      bestCost = cost;
+    });
+    return best;
+  }
+
+  private static isOpen(instance: pooledInstance.PooledInstance): boolean {
+    return instance.getRecord().state === 'ready';
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/vms/MembershipMessage.ts
@@ -0,0 +1,34 @@
+import type * as core from '@tamarackferry/core';
+
+import type * as vmHeartbeat from './VmHeartbeat.js';
+
+/** Answer to a caller that asks where to connect. */
+export interface DirectoryAnswer {
+  /** Hosts of the VMs that the caller is sent to. */
+  readonly hosts: readonly string[];
+  /** Time for which the answer may be kept, in milliseconds. */
+  readonly validityMs: number;
+}
+
+/** Message to the `MembershipTask`. */
+export type MembershipMessage =
+  | { readonly type: 'start' }
+  | { readonly type: 'stop' }
+  | { readonly type: 'tick' }
+  | { readonly type: 'heartbeat-received'; readonly heartbeat: vmHeartbeat.VmHeartbeat }
+  | {
+    readonly type: 'catalog-read';
+    readonly revision: number;
+    readonly confirmedAtMs: number;
+    readonly extent: 'changed' | 'same';
+    readonly configuration: 'known' | 'missing';
+  }
+  | { readonly type: 'directory-asked'; readonly place: string; readonly replyTo: core.tasks.Mailbox<DirectoryAnswer> }
+  | { readonly type: 'readiness-asked'; readonly replyTo: core.tasks.Mailbox<vmHeartbeat.VmState> };
+
+/** What the `MembershipTask` asks of the task that owns the datagram socket. */
+export interface MembershipOutput {
+  readonly type: 'send-heartbeat';
+  readonly hosts: readonly string[];
+  readonly heartbeat: vmHeartbeat.VmHeartbeat;
+}
--- /dev/null
+++ b/packages/gateway/src/vms/MembershipTask.ts
@@ -0,0 +1,267 @@
+import * as core from '@tamarackferry/core';
+
+import type * as gatewayOutput from '../callers/GatewayOutput.js';
+import type * as catalogMessage from '../contracts/CatalogMessage.js';
+import * as frontChoice from './FrontChoice.js';
+import * as knownVm from './KnownVm.js';
+import type * as membershipMessage from './MembershipMessage.js';
+import type * as vmHeartbeat from './VmHeartbeat.js';
+
+// VMs that serve callers send heartbeats at each tick, so that their end is noticed within a second.
+const TICK_MS = 250;
+const FRONT_SILENCE_MS = 1_000;
+
+// The others send them less often: nobody depends on them at the moment.
+const RESERVE_TICKS = 4;
+const RESERVE_SILENCE_MS = 3_500;
+
+// Ticks between heartbeats to a VM of another place and to the seeds.
+const OTHER_PLACE_TICKS = 8;
+const SEED_TICKS = 20;
+const LONELY_SEED_TICKS = 2;
+
+// VMs that are silent for longer are forgotten.
+const FORGET_MS = 30_000;
+const TRY_MS = 10_000;
+
+const MENTIONS = 4;
+const REPLY_MENTIONS = 40;
+
+// A tick that is later than this shows that the VM is slowed down; it stays marked for some ticks.
+const LATE_TICK_MS = 120;
+const SLOW_TICKS = 8;
+
+/** Options of a `MembershipTask`. */
+export interface MembershipTaskOptions {
+  readonly scheduler: core.tasks.TaskScheduler;
+  readonly timers: core.time.TimerService;
+  readonly random: core.randomness.RandomSource;
+  readonly outbox: core.tasks.Mailbox<membershipMessage.MembershipOutput | gatewayOutput.GatewayOutput>;
+  readonly catalog: core.tasks.Mailbox<catalogMessage.CatalogMessage>;
+  readonly self: Pick<vmHeartbeat.VmHeartbeat, 'name' | 'host' | 'place' | 'incarnation' | 'capacity'>;
+  /** Hosts to ask for other VMs. They may be stale or down. */
+  readonly seedHosts: readonly string[];
+  /** Number of VMs of a place that callers are sent to. */
+  readonly frontsPerPlace: number;
+  /** Time for which callers may keep an answer of the directory, in milliseconds. */
+  readonly validityMs: number;
+}
+
+/** Owns the view of the other VMs: who is there, which of them callers are sent to, and which read the store. */
+export class MembershipTask extends core.tasks.Task<membershipMessage.MembershipMessage> {
+  private readonly vms = new Map<string, knownVm.KnownVm>();
+
+  private state: vmHeartbeat.VmState = 'starting';
+
+  private revision = 0;
+
+  private confirmedAtMs = -Infinity;
+
+  private sequence = 0;
+
+  private ticks = 0;
+
+  private lastTickMs = 0;
+
+  private slowTicks = 0;
+
+  private role: 'watcher' | 'follower' | undefined;
+
+  private timer: core.time.TimerSubscription | undefined;
+
+  private fronts: readonly string[] = [];
+
+  /** @param options - Surroundings of the task. */
+  constructor(private readonly options: MembershipTaskOptions) {
+    super(options.scheduler);
+  }
+
+  /** Counts the other VMs that were lately heard. */
+  countVms(): number {
+    return this.listHeard().length;
+  }
+
+  /** Gets the state of this VM. */
+  getState(): vmHeartbeat.VmState {
+    return this.state;
+  }
+
+  /** @internal */
+  override handle(message: membershipMessage.MembershipMessage): void {
+    switch (message.type) {
+      case 'start':
+        this.lastTickMs = this.options.timers.getNowMs();
+        this.timer = this.options.timers.subscribe({
+          mailbox: this, message: { type: 'tick' as const }, delayMs: TICK_MS, periodMs: TICK_MS,
+        });
+        this.sendHeartbeat(this.options.seedHosts, 'wanted');
+        this.updateRole();
+        break;
+      case 'stop':
+        this.state = 'leaving';
+        this.announce();
+        break;
+      case 'tick':
+        this.handleTick();
+        break;
+      case 'heartbeat-received':
+        this.handleHeartbeat(message.heartbeat);
+        break;
+      case 'catalog-read':
+        this.handleCatalog(message);
+        break;
+      case 'directory-asked':
+        message.replyTo.post({ hosts: this.listFronts(message.place), validityMs: this.options.validityMs });
+        break;
+      case 'readiness-asked':
+        message.replyTo.post(this.state);
+        break;
+      // no default
+    }
+  }
+
+  private handleTick(): void {
+    const nowMs = this.options.timers.getNowMs();
+    const lateMs = nowMs - this.lastTickMs - TICK_MS;
+    this.lastTickMs = nowMs;
+    this.ticks += 1;
+    this.slowTicks = lateMs > LATE_TICK_MS ? SLOW_TICKS : Math.max(0, this.slowTicks - 1);
+    if (this.state === 'ready' || this.state === 'slow') this.setState(this.slowTicks > 0 ? 'slow' : 'ready');
+    this.pruneVms(nowMs);
+    const front = this.fronts.includes(this.options.self.host);
+    if (front || this.ticks % RESERVE_TICKS === 0) this.sendHeartbeat(this.listTargets(nowMs), 'none');
+    if (this.ticks % OTHER_PLACE_TICKS === 0) this.sendToOtherPlace();
+    const lonely = this.listHeard().every((vm) => vm.getTold().place !== this.options.self.place);
+    if (this.ticks % (lonely ? LONELY_SEED_TICKS : SEED_TICKS) === 0) this.sendHeartbeat(this.options.seedHosts, 'wanted');
+    this.updateRole();
+  }
+
+  private handleHeartbeat(heartbeat: vmHeartbeat.VmHeartbeat): void {
+    const { self } = this.options;
+    if (heartbeat.name === self.name) return;
+    const nowMs = this.options.timers.getNowMs();
+    const known = this.vms.get(heartbeat.name);
+    const before = known?.getTold().state;
+    if (known === undefined) {
+      this.vms.set(heartbeat.name, knownVm.KnownVm.fromMention({ ...heartbeat, ageMs: 0 }, nowMs));
+      this.log('vm-found', { vm: heartbeat.name, place: heartbeat.place, state: heartbeat.state });
+    } else known.applyHeartbeat(heartbeat, nowMs);
+    heartbeat.mentions.filter((mention) => mention.name !== self.name).forEach((mention) => this.applyMention(mention, nowMs));
+    if (before !== heartbeat.state) this.updateRole();
+    this.options.catalog.post({
+      type: 'peer-heard', host: heartbeat.host, revision: heartbeat.revision, confirmedAgeMs: heartbeat.confirmedAgeMs,
+    });
+    if (heartbeat.reply === 'wanted') this.sendHeartbeat([heartbeat.host], 'none', REPLY_MENTIONS);
+  }
+
+  private applyMention(mention: vmHeartbeat.VmMention, nowMs: number): void {
+    const known = this.vms.get(mention.name);
+    if (known !== undefined) known.applyMention(mention, nowMs);
+    else if (mention.ageMs < RESERVE_SILENCE_MS) this.vms.set(mention.name, knownVm.KnownVm.fromMention(mention, nowMs));
+  }
+
+  private handleCatalog(read: Extract<membershipMessage.MembershipMessage, { type: 'catalog-read' }>): void {
+    this.revision = read.revision;
+    this.confirmedAtMs = read.confirmedAtMs;
+    if (this.state === 'starting' && read.configuration === 'known') {
+      this.setState('ready');
+      this.announce();
+    } else if (read.extent === 'changed' && this.role === 'watcher') this.announce();
+  }
+
+  // Tells the VMs of the place at once, instead of with the next heartbeat.
+  private announce(): void {
+    this.sendHeartbeat(this.listTargets(this.options.timers.getNowMs()), 'none');
+  }
+
+  private setState(state: vmHeartbeat.VmState): void {
+    if (state === this.state) return;
+    this.log('vm-state', { from: this.state, to: state, revision: this.revision });
+    this.state = state;
+  }
+
+  private updateRole(): void {
+    const { self, frontsPerPlace } = this.options;
+    const nowMs = this.options.timers.getNowMs();
+    const fronts = this.rankPlace(self.place, nowMs).slice(0, frontsPerPlace).map((vm) => vm.host);
+    if (fronts.join() !== this.fronts.join()) this.log('fronts-changed', { fronts: fronts.join(' ') });
+    this.fronts = fronts;
+    const role = fronts.includes(self.host) ? 'watcher' : 'follower';
+    if (role === this.role) return;
+    this.role = role;
+    this.options.catalog.post({ type: 'role-chosen', role });
+  }
+
+  private listFronts(place: string): string[] {
+    const { self, frontsPerPlace } = this.options;
+    const nowMs = this.options.timers.getNowMs();
+    const near = this.rankPlace(place, nowMs).slice(0, frontsPerPlace);
+    if (near.length > 0) return near.map((vm) => vm.host);
+    const own = this.rankPlace(self.place, nowMs).slice(0, frontsPerPlace);
+    return own.length > 0 ? own.map((vm) => vm.host) : [self.host];
+  }
+
+  private rankPlace(place: string, nowMs: number): frontChoice.FrontCandidate[] {
+    const { self } = this.options;
+    const others = [...this.vms.values()]
+      .filter((vm) => vm.getTold().place === place && this.isHeard(vm, nowMs))
+      .map((vm) => vm.getTold());
+    return frontChoice.FrontChoice.rankCandidates(place, self.place === place ? [{ ...self, state: this.state }, ...others] : others);
+  }
+
+  private isHeard(vm: knownVm.KnownVm, nowMs: number): boolean {
+    const { host, place } = vm.getTold();
+    const boundMs = place !== this.options.self.place || !this.fronts.includes(host) ? RESERVE_SILENCE_MS : FRONT_SILENCE_MS;
+    // VMs of other places are heard by gossip only.
+    return vm.computeSilenceMs(nowMs) <= (place === this.options.self.place ? boundMs : TRY_MS);
+  }
+
+  private listHeard(): knownVm.KnownVm[] {
+    const nowMs = this.options.timers.getNowMs();
+    return [...this.vms.values()].filter((vm) => this.isHeard(vm, nowMs));
+  }
+
+  private listTargets(nowMs: number): string[] {
+    return [...this.vms.values()]
+      .filter((vm) => vm.getTold().place === this.options.self.place && vm.computeSilenceMs(nowMs) <= TRY_MS)
+      .map((vm) => vm.getTold().host);
+  }
+
+  private sendToOtherPlace(): void {
+    const others = [...this.vms.values()].filter((vm) => vm.getTold().place !== this.options.self.place);
+    const target = this.options.random.pickItem(others);
+    if (target !== undefined) this.sendHeartbeat([target.getTold().host], 'none');
+  }
+
+  private sendHeartbeat(hosts: readonly string[], reply: 'wanted' | 'none', mentionCount = MENTIONS): void {
+    const { self, random } = this.options;
+    const others = hosts.filter((host) => host !== self.host);
+    if (others.length === 0) return;
+    const nowMs = this.options.timers.getNowMs();
+    this.sequence += 1;
+    this.options.outbox.post({
+      type: 'send-heartbeat',
+      hosts: others,
+      heartbeat: {
+        ...self,
+        sequence: this.sequence,
+        state: this.state,
+        revision: this.revision,
+        confirmedAgeMs: Math.min(1e9, Math.round(nowMs - this.confirmedAtMs)),
+        reply,
+        mentions: random.shuffleItems(this.listHeard()).slice(0, mentionCount).map((vm) => vm.buildMention(nowMs)),
+      },
+    });
+  }
+
+  private pruneVms(nowMs: number): void {
+    [...this.vms].filter(([, vm]) => vm.computeSilenceMs(nowMs) > FORGET_MS).forEach(([name]) => {
+      this.vms.delete(name);
+      this.log('vm-lost', { vm: name });
+    });
+  }
+
+  private log(event: string, fields: gatewayOutput.LogFields): void {
+    this.options.outbox.post({ type: 'log', event, fields });
+  }
+}
