Treat a reset as the break of an answer without a length

Ruled out: a wrong count of bytes, since the answers declared none. Change: a connection notes the error of its socket; such an answer is not whole. Tests of the gateway decisions are added.

--- a/packages/entry/src/upstreams/Exchange.ts
+++ b/packages/entry/src/upstreams/Exchange.ts
@@ -63,7 +63,7 @@
       onResponseData: (_, chunk) => {
         if (this.state === 'open') this.handleData(chunk);
       },
-      onResponseEnd: () => this.end(this.options.reader.isComplete() ? 'complete' : 'truncated'),
+      onResponseEnd: () => this.end(this.isWhole() ? 'complete' : 'truncated'),
       onResponseError: () => this.end(this.computeFailure()),
     });
   }
@@ -125,6 +125,10 @@
     this.end('reset');
   }
 
+  private isWhole(): boolean {
+    return this.connection?.hasFailed() !== true && this.options.reader.isComplete();
+  }
+
   private computeFailure(): ExchangeEnding {
     if (this.controller === undefined) return 'refused';
     return this.options.reader.hasHead() ? 'truncated' : 'reset';
--- a/packages/entry/src/upstreams/UpstreamConnection.ts
+++ b/packages/entry/src/upstreams/UpstreamConnection.ts
@@ -1,3 +1,4 @@
+import type * as net from 'node:net';
 import * as undici from 'undici';
 
 /** Options of an `UpstreamConnection`. */
@@ -19,11 +20,17 @@
 
   private state: 'idle' | 'busy' | 'closed' = 'idle';
 
+  private socketState: 'sound' | 'failed' = 'sound';
+
   /** @param options - Origin and times of the connection. */
   constructor(options: UpstreamConnectionOptions) {
+    const connect = undici.buildConnector({ timeout: options.connectTimeoutMs });
     this.client = new undici.Client(options.origin, {
       pipelining: 1,
-      connect: { timeout: options.connectTimeoutMs },
+      connect: (target, callback) => connect(target, (...result) => {
+        if (result[1] !== null) this.watchSocket(result[1]);
+        callback(...result);
+      }),
       keepAliveTimeout: options.idleTimeoutMs,
       keepAliveMaxTimeout: options.maxIdleTimeoutMs ?? options.idleTimeoutMs,
       // The exchange has its own deadline.
@@ -45,6 +52,11 @@
     this.client.dispatch(request, handler);
   }
 
+  /** Whether the present socket ended with an error. An answer without a length that ends so is not whole. */
+  hasFailed(): boolean {
+    return this.socketState === 'failed';
+  }
+
   /** Marks the connection as free for the next request. */
   release(): void {
     if (this.state === 'busy') this.state = 'idle';
@@ -56,4 +68,12 @@
     this.state = 'closed';
     return this.client.destroy().catch(() => undefined);
   }
+
+  // The client takes a reset as the end of an answer without a length. Its own listener comes after this one.
+  private watchSocket(socket: net.Socket): void {
+    this.socketState = 'sound';
+    socket.on('error', () => {
+      this.socketState = 'failed';
+    });
+  }
 }
--- /dev/null
+++ b/packages/gateway/test/TestGateway.ts
@@ -0,0 +1,95 @@
+import * as core from '@tamarackferry/core';
+import * as gateway from '@tamarackferry/gateway';
+
+import * as testRoute from './TestRoute.js';
+
+/** Request task under virtual time, with a record of what it asks for. */
+export class TestGateway {
+  readonly timers = new core.time.VirtualTimerService();
+
+  readonly outputs: gateway.callers.GatewayOutput[] = [];
+
+  readonly task: gateway.callers.RoutedRequestTask;
+
+  private nextRequest = 0;
+
+  /**
+   * @param routes - Routes in force.
+   * @param instances - Published instances.
+   * @param slack - Repeats allowed on top of the share of requests.
+   */
+  constructor(
+    routes: readonly gateway.contracts.Route[],
+    instances: readonly gateway.upstreams.InstanceRecord[],
+    slack = 10,
+  ) {
+    this.task = new gateway.callers.RoutedRequestTask({
+      scheduler: new core.tasks.TaskScheduler(),
+      timers: this.timers,
+      random: new core.randomness.SeededRandomSource(1),
+      outbox: { post: (output) => this.outputs.push(output) },
+      place: 'p1',
+      budget: { ratio: 0.2, slack, windowMs: 10_000 },
+    });
+    this.task.post({ type: 'configuration-changed', configuration: testRoute.buildConfiguration(1, routes) });
+    this.task.post({ type: 'instances-changed', records: instances });
+    this.task.post({ type: 'catalog-state', state: 'current' });
+  }
+
+  /**
+   * Sends a request and gives its id.
+   * @param path - Path of the request.
+   * @param deadlineMs - Time that the caller waits.
+   */
+  sendRequest(path = '/x/1', deadlineMs = 2_000): string {
+    this.nextRequest += 1;
+    const requestId = `q${this.nextRequest}`;
+    this.task.post({
+      type: 'request-arrived',
+      arrival: {
+        requestId,
+        callerRequestId: `c${this.nextRequest}`,
+        method: 'POST',
+        host: 'a.example',
+        path,
+        headers: [],
+        body: new Uint8Array(),
+        deadlineMs,
+        arrivedAtMs: this.timers.getNowMs(),
+      },
+    });
+    return requestId;
+  }
+
+  /** Lists the attempts that were sent. */
+  listAttempts(): Extract<gateway.callers.GatewayOutput, { type: 'send-attempt' }>[] {
+    return this.outputs.flatMap((output) => (output.type === 'send-attempt' ? [output] : []));
+  }
+
+  /**
+   * Ends an attempt.
+   * @param attemptId - Id of the attempt.
+   * @param ending - How it ended; an answer with status 200 if not given.
+   */
+  endAttempt(attemptId: string, ending: gateway.upstreams.AttemptEnding = TestGateway.buildAnswer(200)): void {
+    this.task.post({ type: 'attempt-ended', attemptId, ending });
+  }
+
+  /**
+   * Finds what the caller of a request was told.
+   * @param requestId - Id of the request.
+   */
+  findOutcome(requestId: string): Extract<gateway.callers.GatewayOutput, { type: 'answer' | 'refuse' }> | undefined {
+    return this.outputs.flatMap((output) => (
+      (output.type === 'answer' || output.type === 'refuse') && output.requestId === requestId ? [output] : []
+    ))[0];
+  }
+
+  /**
+   * Builds an answer of an instance.
+   * @param status - Status code.
+   */
+  static buildAnswer(status: number): gateway.upstreams.AttemptEnding {
+    return { type: 'answered', load: undefined, answer: { status, headers: [], body: new Uint8Array() } };
+  }
+}
--- /dev/null
+++ b/packages/gateway/test/TestRoute.ts
@@ -0,0 +1,50 @@
+import type * as gateway from '@tamarackferry/gateway';
+
+/**
+ * Builds a route for tests.
+ * @param changed - Fields that differ from the usual ones.
+ */
+export function buildRoute(changed: Partial<gateway.contracts.Route> = {}): gateway.contracts.Route {
+  return {
+    name: 'r1',
+    host: 'a.example',
+    prefix: '/x/',
+    kind: 'non-idempotent',
+    timeoutMs: 2_000,
+    objectiveMs: 1_000,
+    maxAttempts: 2,
+    rank: 1,
+    targets: [{ service: 's1', weight: 1 }],
+    ...changed,
+  };
+}
+
+/**
+ * Builds a configuration for tests.
+ * @param version - Version.
+ * @param routes - Routes.
+ */
+export function buildConfiguration(version: number, routes: readonly gateway.contracts.Route[]): gateway.contracts.Configuration {
+  return {
+    version,
+    routes,
+    services: [{ name: 's1', healthPath: '/health', maxConnections: 330 }],
+    limits: {
+      headerBytes: 16_384, bodyBytes: 1_000_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000,
+    },
+  };
+}
+
+/**
+ * Builds the entry of an instance for tests.
+ * @param id - Id of the instance.
+ * @param changed - Fields that differ from the usual ones.
+ */
+export function buildInstance(
+  id: string,
+  changed: Partial<gateway.upstreams.InstanceRecord> = {},
+): gateway.upstreams.InstanceRecord {
+  return {
+    id, service: 's1', host: '10.0.0.1', port: 8_000 + id.length, place: 'p1', slots: 2, state: 'ready', warmupMs: 0, startedAtMs: 1, ...changed,
+  };
+}
--- /dev/null
+++ b/packages/gateway/test/contracts/RouteTable.test.ts
@@ -0,0 +1,38 @@
+import * as gateway from '@tamarackferry/gateway';
+import * as vitest from 'vitest';
+
+import * as testRoute from '../TestRoute.js';
+
+const TABLE = new gateway.contracts.RouteTable([
+  testRoute.buildRoute({ name: 'short', prefix: '/a/' }),
+  testRoute.buildRoute({ name: 'long', prefix: '/a/b/' }),
+  testRoute.buildRoute({ name: 'other', host: 'b.example', prefix: '/' }),
+]);
+
+vitest.describe('RouteTable', () => {
+  vitest.it.each([
+    ['a.example', '/a/b/c?q=/x/', 'long'],
+    ['a.example', '/a/bc', 'short'],
+    ['A.example:8080', '/a/', 'short'],
+    ['a.example', '/a', undefined],
+    ['a.example', '/c/', undefined],
+    ['a.example', '/x?/a/b/', undefined],
+    ['b.example', '/anything', 'other'],
+    ['c.example', '/a/', undefined],
+  ])('finds the longest prefix for %s%s', (host, path, expected) => {
+    vitest.expect(TABLE.getRoute(host, path)?.name).toBe(expected);
+  });
+});
+
+vitest.describe('TrafficSplit', () => {
+  vitest.it('gives each target its share, as evenly as whole requests allow', () => {
+    const split = new gateway.contracts.TrafficSplit([{ service: 'a', weight: 90 }, { service: 'b', weight: 10 }]);
+    split.advance(0.35);
+    const chosen = Array.from({ length: 300 }, () => split.chooseService());
+    vitest.expect(Math.abs(chosen.filter((service) => service === 'b').length - 30)).toBeLessThanOrEqual(1);
+  });
+
+  vitest.it('chooses nothing when a route has no target', () => {
+    vitest.expect(new gateway.contracts.TrafficSplit([]).chooseService()).toBeUndefined();
+  });
+});
--- /dev/null
+++ b/packages/gateway/test/upstreams/ServicePool.test.ts
@@ -0,0 +1,75 @@
+import * as core from '@tamarackferry/core';
+import * as gateway from '@tamarackferry/gateway';
+import * as vitest from 'vitest';
+
+import * as testGateway from '../TestGateway.js';
+import * as testRoute from '../TestRoute.js';
+
+function buildPool(records: readonly gateway.upstreams.InstanceRecord[]): gateway.upstreams.ServicePool {
+  const pool = new gateway.upstreams.ServicePool({ service: 's1', place: 'p1', random: new core.randomness.SeededRandomSource(3) });
+  pool.setInstances(records, 0);
+  return pool;
+}
+
+function buildDurations(): gateway.upstreams.DurationSamples {
+  const durations = new gateway.upstreams.DurationSamples(1_000);
+  Array.from({ length: 200 }, (_, index) => durations.record(200 + index));
+  return durations;
+}
+
+vitest.describe('ServicePool', () => {
+  vitest.it('avoids an instance whose request is overdue long before any time-out', () => {
+    const pool = buildPool([testRoute.buildInstance('i1', { slots: 20 }), testRoute.buildInstance('i2', { slots: 20 })]);
+    const durations = buildDurations();
+    const silent = pool.chooseInstance('non-idempotent', [], 0)!;
+    silent.begin('a', 0, durations);
+    const chosen = Array.from({ length: 10 }, () => pool.chooseInstance('non-idempotent', [], 450)?.getRecord().id);
+    vitest.expect(chosen).not.toContain(silent.getRecord().id);
+  });
+
+  vitest.it('prefers its own place, but not at the price of a failing instance', () => {
+    const near = testRoute.buildInstance('i1', { slots: 20 });
+    const far = testRoute.buildInstance('i2', { slots: 20, place: 'p2' });
+    const pool = buildPool([near, far]);
+    vitest.expect(pool.chooseInstance('non-idempotent', [], 0)?.getRecord().id).toBe('i1');
+    const instance = pool.chooseInstance('non-idempotent', [], 0)!;
+    ['a', 'b'].forEach((id) => {
+      instance.begin(id, 0, buildDurations());
+      instance.end(id, testGateway.TestGateway.buildAnswer(500), 10);
+    });
+    vitest.expect(pool.chooseInstance('non-idempotent', [], 20)?.getRecord().id).toBe('i2');
+  });
+
+  vitest.it('never puts more requests at an instance than it has slots, those of other VMs included', () => {
+    const pool = buildPool([testRoute.buildInstance('i1', { slots: 2 })]);
+    const durations = buildDurations();
+    const instance = pool.chooseInstance('non-idempotent', [], 0)!;
+    instance.begin('a', 0, durations);
+    instance.end('a', { type: 'answered', load: { running: 2, waiting: 0, slots: 2 }, answer: { status: 200, headers: [], body: new Uint8Array() } }, 10);
+    vitest.expect(pool.chooseInstance('non-idempotent', [], 11)).toBeUndefined();
+    vitest.expect(pool.chooseInstance('non-idempotent', [], 700)).toBeDefined();
+  });
+
+  vitest.it('tries an instance that was not used for a while with requests that may be repeated', () => {
+    const pool = buildPool([testRoute.buildInstance('i1', { slots: 20 }), testRoute.buildInstance('i2', { slots: 20 })]);
+    const used = pool.chooseInstance('non-idempotent', [], 0)!;
+    used.begin('a', 0, buildDurations());
+    used.end('a', testGateway.TestGateway.buildAnswer(200), 100);
+    vitest.expect(pool.chooseInstance('non-idempotent', [], 100)).toBe(used);
+    vitest.expect(pool.chooseInstance('idempotent', [], 100)).not.toBe(used);
+  });
+
+  vitest.it('judges a restarted process anew, though it has the id of the one before', () => {
+    const record = testRoute.buildInstance('i1');
+    const pool = buildPool([record]);
+    const instance = pool.chooseInstance('non-idempotent', [], 0)!;
+    Array.from({ length: 12 }, (_, index) => {
+      instance.begin(`a${index}`, 0, buildDurations());
+      instance.end(`a${index}`, { type: 'reset' }, 1);
+      return index;
+    });
+    vitest.expect(pool.chooseInstance('non-idempotent', [], 2)).toBeUndefined();
+    pool.setInstances([{ ...record, startedAtMs: 2 }], 3);
+    vitest.expect(pool.chooseInstance('non-idempotent', [], 4)).toBeDefined();
+  });
+});
