--- a/packages/entry/src/upstreams/UpstreamConnection.ts
+++ b/packages/entry/src/upstreams/UpstreamConnection.ts
@@ -28,7 +28,7 @@
     this.client = new undici.Client(options.origin, {
       pipelining: 1,
       connect: (target, callback) => connect(target, (...result) => {
-        if (result[1] !== null) this.watchSocket(result[1]);
+        if (result[0] === null) this.watchSocket(result[1]);
         callback(...result);
       }),
       keepAliveTimeout: options.idleTimeoutMs,
