Estimate gray spells with a memory and share the beliefs of VMs

Ruled out: capacity, since a third of the slots were in use. The connect bound falls from 400 to 200 ms.

--- a/packages/front/src/links/HeartbeatSocket.ts
+++ b/packages/front/src/links/HeartbeatSocket.ts
@@ -15,10 +15,11 @@
   readonly port: number;
   readonly scheduler: core.tasks.TaskScheduler;
   readonly membership: core.tasks.Mailbox<gateway.vms.MembershipMessage>;
+  readonly requests: core.tasks.Mailbox<gateway.callers.RoutedRequestMessage>;
   readonly onEvent: (event: string, fields: gateway.callers.LogFields) => void;
 }
 
-/** Owns the datagram socket on which VMs exchange heartbeats. */
+/** Owns the datagram socket on which VMs exchange heartbeats and beliefs about instances. */
 export class HeartbeatSocket extends core.tasks.Task<HeartbeatSocketMessage> {
   private readonly socket = dgram.createSocket('udp4');
 
@@ -46,21 +47,38 @@
 
   /** @internal */
   override handle(message: HeartbeatSocketMessage): void {
-    if (message.type === 'send-heartbeat') {
-      const data = Buffer.from(JSON.stringify(message.heartbeat));
-      // A lost heartbeat is followed by the next one; an error here says no more than its loss.
-      message.hosts.forEach((host) => this.socket.send(data, this.options.port, host, (error) => {
-        if (error !== null) this.options.onEvent('heartbeat-unsent', { host, detail: error.message });
-      }));
-      return;
+    switch (message.type) {
+      case 'send-heartbeat':
+        this.sendTo(message.hosts, message.heartbeat);
+        break;
+      case 'send-evidence':
+        this.sendTo(message.hosts, message.notice);
+        break;
+      case 'datagram':
+        this.receive(message.data);
+        break;
+      // no default
     }
-    this.receive(message.data);
   }
 
   private receive(data: Buffer): void {
     const parsed = neverthrow.fromThrowable((text: string): unknown => JSON.parse(text), () => 'not JSON' as const)(data.toString('utf8'));
-    const heartbeat = heartbeatSchema.HEARTBEAT_SCHEMA.safeParse(parsed.unwrapOr(undefined));
-    if (heartbeat.success) this.options.membership.post({ type: 'heartbeat-received', heartbeat: heartbeat.data });
-    else this.options.onEvent('heartbeat-unreadable', { bytes: data.length, field: heartbeat.error.issues[0]?.path.join('.') });
+    const value = parsed.unwrapOr(undefined);
+    const heartbeat = heartbeatSchema.HEARTBEAT_SCHEMA.safeParse(value);
+    if (heartbeat.success) {
+      this.options.membership.post({ type: 'heartbeat-received', heartbeat: heartbeat.data });
+      return;
+    }
+    const evidence = heartbeatSchema.EVIDENCE_SCHEMA.safeParse(value);
+    if (evidence.success) this.options.requests.post({ type: 'peer-evidence', ...evidence.data });
+    else this.options.onEvent('datagram-unreadable', { bytes: data.length, field: heartbeat.error.issues[0]?.path.join('.') });
+  }
+
+  private sendTo(hosts: readonly string[], content: object): void {
+    const data = Buffer.from(JSON.stringify(content));
+    // A lost datagram is followed by the next one; an error here says no more than its loss.
+    hosts.forEach((host) => this.socket.send(data, this.options.port, host, (error) => {
+      if (error !== null) this.options.onEvent('datagram-unsent', { host, detail: error.message });
+    }));
   }
 }
--- a/packages/front/src/upstreams/RoutedConnections.ts
+++ b/packages/front/src/upstreams/RoutedConnections.ts
@@ -8,7 +8,7 @@
 import type * as upstreamDialect from './UpstreamDialect.js';
 
 // A lost opening packet is sent again after a second; another instance is faster.
-const CONNECT_WAIT_MS = 400;
+const CONNECT_WAIT_MS = 200;
 
 // Instances that state no time for idle connections may close them after this time.
 const IDLE_TIMEOUT_MS = 4_000;
--- a/packages/front/src/vms/FrontProcess.ts
+++ b/packages/front/src/vms/FrontProcess.ts
@@ -123,7 +123,7 @@
       ...settings.callers, scheduler, timers, dialect: dialects.callers, requests: this.requests, onEvent,
     });
     this.heartbeats = new links.HeartbeatSocket({
-      host: settings.host, port: settings.heartbeatPort, scheduler, membership: this.membership, onEvent,
+      host: settings.host, port: settings.heartbeatPort, scheduler, membership: this.membership, requests: this.requests, onEvent,
     });
     this.news = new links.NewsClient({
       port: settings.news.port, scheduler, catalog: this.catalog, onEvent,
@@ -211,8 +211,12 @@
         this.news.post(output);
         break;
       case 'send-heartbeat':
+      case 'send-evidence':
         this.heartbeats.post(output);
         break;
+      case 'evidence-found':
+        this.membership.post(output);
+        break;
       case 'log':
         this.record(output.event, output.fields);
         break;
--- a/packages/gateway/src/callers/RoutedRequestMessage.ts
+++ b/packages/gateway/src/callers/RoutedRequestMessage.ts
@@ -1,5 +1,6 @@
 import type * as configuration from '../contracts/Configuration.js';
 import type * as attemptEnding from '../upstreams/AttemptEnding.js';
+import type * as evidenceRow from '../upstreams/EvidenceRow.js';
 import type * as instanceRecord from '../upstreams/InstanceRecord.js';
 import type * as requestArrival from './RequestArrival.js';
 
@@ -14,4 +15,6 @@
   | { readonly type: 'catalog-state'; readonly state: 'current' | 'stale' }
   | { readonly type: 'deadline-reached'; readonly requestId: string }
   | { readonly type: 'hedge-due'; readonly requestId: string }
+  | { readonly type: 'peer-evidence'; readonly from: string; readonly rows: readonly evidenceRow.EvidenceRow[] }
+  | { readonly type: 'sharing-due' }
   | { readonly type: 'queue-check' };
--- a/packages/gateway/src/callers/RoutedRequestTask.ts
+++ b/packages/gateway/src/callers/RoutedRequestTask.ts
@@ -5,6 +5,8 @@
 import * as trafficSplit from '../contracts/TrafficSplit.js';
 import type * as attemptEnding from '../upstreams/AttemptEnding.js';
 import * as durationSamples from '../upstreams/DurationSamples.js';
+import type * as evidenceRow from '../upstreams/EvidenceRow.js';
+import * as evidenceSharing from '../upstreams/EvidenceSharing.js';
 import type * as instanceRecord from '../upstreams/InstanceRecord.js';
 import type * as pooledInstance from '../upstreams/PooledInstance.js';
 import * as admissionRule from './AdmissionRule.js';
@@ -18,6 +20,9 @@
 // Requests that wait are looked at this often, so that one that can no longer be served is refused.
 const QUEUE_CHECK_MS = 40;
 
+// Other VMs are told of doubtful instances this often, while requests are in flight.
+const SHARING_MS = 150;
+
 // A request that may be repeated is sent to a second instance when it takes longer than this share of the answers of its route.
 const HEDGE_QUANTILE = 0.93;
 const MIN_HEDGE_MS = 20;
@@ -63,6 +68,10 @@
 
   private nextAttempt = 0;
 
+  private readonly sharing = new evidenceSharing.EvidenceSharing();
+
+  private sharingTimer: core.time.TimerSubscription | undefined;
+
   private queueTimer: core.time.TimerSubscription | undefined;
 
   /** @param options - Surroundings of the task. */
@@ -107,6 +116,13 @@
       case 'hedge-due':
         this.handleHedge(message.requestId);
         break;
+      case 'peer-evidence':
+        this.applyEvidence(message.from, message.rows);
+        break;
+      case 'sharing-due':
+        this.sharingTimer = undefined;
+        this.announceEvidence();
+        break;
       case 'queue-check':
         this.queueTimer = undefined;
         this.desks.forEach((desk) => this.serveQueue(desk));
@@ -179,6 +195,9 @@
     });
     request.state = 'sent';
     this.attempts.set(attemptId, request);
+    this.sharingTimer ??= this.options.timers.subscribe({
+      mailbox: this, message: { type: 'sharing-due' as const }, delayMs: SHARING_MS,
+    });
     chosen.begin(attemptId, nowMs, options.durations);
     this.options.outbox.post({
       type: 'send-attempt',
@@ -331,6 +350,23 @@
     });
   }
 
+  private applyEvidence(from: string, rows: readonly evidenceRow.EvidenceRow[]): void {
+    const nowMs = this.options.timers.getNowMs();
+    rows.forEach((row) => this.desks.get(row.service)?.pool.getInstance(row.instance)?.recordPeer(from, row.deviation, nowMs));
+  }
+
+  private announceEvidence(): void {
+    const nowMs = this.options.timers.getNowMs();
+    const rows = [...this.desks].flatMap(([service, desk]) => desk.pool.listInstances().map((instance) => ({
+      instance: instance.getRecord().id, service, deviation: Number(instance.computeDeviation(nowMs).toFixed(2)),
+    })));
+    const selected = this.sharing.selectRows(rows, nowMs);
+    if (selected.length > 0) this.options.outbox.post({ type: 'evidence-found', rows: selected });
+    if (this.attempts.size > 0) {
+      this.sharingTimer = this.options.timers.subscribe({ mailbox: this, message: { type: 'sharing-due' as const }, delayMs: SHARING_MS });
+    }
+  }
+
   private getDesk(service: string): serviceDesk.ServiceDesk {
     const known = this.desks.get(service);
     if (known !== undefined) return known;
--- /dev/null
+++ b/packages/gateway/src/upstreams/EvidenceRow.ts
@@ -0,0 +1,7 @@
+/** What one VM believes of one instance, from its own requests. */
+export interface EvidenceRow {
+  readonly instance: string;
+  readonly service: string;
+  /** Log odds above the prior that the instance is gray. */
+  readonly deviation: number;
+}
--- a/packages/gateway/src/upstreams/PooledInstance.ts
+++ b/packages/gateway/src/upstreams/PooledInstance.ts
@@ -1,17 +1,8 @@
 import type * as attemptEnding from './AttemptEnding.js';
 import type * as durationSamples from './DurationSamples.js';
+import * as grayEstimate from './GrayEstimate.js';
 import type * as instanceRecord from './InstanceRecord.js';
 
-// Time in which evidence loses most of its weight: gray failures last some seconds.
-const EVIDENCE_DECAY_MS = 4_000;
-
-// Share of failures expected of an instance that nothing is known of, and the number of requests that this is worth.
-const PRIOR_FAILURE_SHARE = 0.02;
-const PRIOR_REQUESTS = 3;
-
-// Share of requests that meet an instance which will never answer. Sets how long silence must last to be telling.
-const SILENCE_PRIOR = 0.02;
-
 // Reports of load describe the past; after this time nothing of one is left.
 const LOAD_REPORT_LIFETIME_MS = 600;
 
@@ -24,11 +15,7 @@
 export class PooledInstance {
   private readonly inFlight = new Map<string, InFlight>();
 
-  private failures = 0;
-
-  private total = 0;
-
-  private decayedAtMs = 0;
+  private gray: grayEstimate.GrayEstimate;
 
   private othersLoad = 0;
 
@@ -44,7 +31,7 @@
    */
   constructor(private record: instanceRecord.InstanceRecord, nowMs: number) {
     this.warmAtMs = nowMs + record.warmupMs;
-    this.decayedAtMs = nowMs;
+    this.gray = new grayEstimate.GrayEstimate(nowMs);
   }
 
   /** Gets what the instance published. */
@@ -62,8 +49,7 @@
     this.record = record;
     this.warmAtMs = nowMs + record.warmupMs;
     if (before.startedAtMs === record.startedAtMs && before.host === record.host && before.port === record.port) return;
-    this.failures = 0;
-    this.total = 0;
+    this.gray = new grayEstimate.GrayEstimate(nowMs);
     this.othersLoad = 0;
   }
 
@@ -88,30 +74,45 @@
     const ended = this.inFlight.get(attemptId);
     if (ended === undefined) return;
     this.inFlight.delete(attemptId);
-    this.expireEvidence(nowMs);
     if ((ending.type === 'answered' || ending.type === 'not-run') && ending.load !== undefined) this.recordLoad(ending.load, nowMs);
-    const ageMs = nowMs - ended.sentAtMs;
+    const survival = ended.durations.estimateSurvival(nowMs - ended.sentAtMs);
     switch (ending.type) {
       case 'answered':
-        this.total += 1;
-        if (ending.answer.status >= 500) this.failures += 1;
-        else ended.durations.record(ageMs);
+        if (ending.answer.status >= 500) this.gray.recordFailure(nowMs);
+        else {
+          this.gray.recordSuccess(survival, nowMs);
+          ended.durations.record(nowMs - ended.sentAtMs);
+        }
         break;
       case 'not-run':
         break;
-      case 'cancelled': {
-        const weight = PooledInstance.weighSilence(ended, nowMs);
-        this.failures += weight;
-        this.total += weight;
+      case 'cancelled':
+        this.gray.recordSilence(survival, nowMs);
         break;
-      }
       default:
-        this.failures += 1;
-        this.total += 1;
+        this.gray.recordFailure(nowMs);
         break;
     }
   }
 
+  /**
+   * Takes what another VM believes of the instance.
+   * @param peer - Name of the VM.
+   * @param deviation - Its log odds above the prior.
+   * @param nowMs - Present time.
+   */
+  recordPeer(peer: string, deviation: number, nowMs: number): void {
+    this.gray.recordPeer(peer, deviation, nowMs);
+  }
+
+  /**
+   * Computes the log odds above the prior that the instance is gray, from the requests of this VM only.
+   * @param nowMs - Present time.
+   */
+  computeDeviation(nowMs: number): number {
+    return this.gray.computeDeviation(this.sumSilence(nowMs), nowMs);
+  }
+
   /** Counts the attempts of this VM in flight. */
   countInFlight(): number {
     return this.inFlight.size;
@@ -131,12 +132,7 @@
    * @param nowMs - Present time.
    */
   estimateFailure(nowMs: number): number {
-    this.expireEvidence(nowMs);
-    let silence = 0;
-    this.inFlight.forEach((flight) => {
-      silence += PooledInstance.weighSilence(flight, nowMs);
-    });
-    return (PRIOR_FAILURE_SHARE * PRIOR_REQUESTS + this.failures + silence) / (PRIOR_REQUESTS + this.total + silence);
+    return this.gray.estimateFailure(this.sumSilence(nowMs), nowMs);
   }
 
   /**
@@ -155,21 +151,18 @@
     return nowMs - this.usedAtMs;
   }
 
-  // Probability that the instance is silent for good, given that the answer has not come until now.
-  private static weighSilence(flight: InFlight, nowMs: number): number {
-    const survival = flight.durations.estimateSurvival(nowMs - flight.sentAtMs);
-    return (SILENCE_PRIOR * (1 - survival)) / (SILENCE_PRIOR + survival);
+  private sumSilence(nowMs: number): number {
+    let sum = 0;
+    // A loop, since this runs for each instance and request.
+    this.inFlight.forEach((flight) => {
+      const survival = flight.durations.estimateSurvival(nowMs - flight.sentAtMs);
+      if (survival < 1) sum += Math.max(0, grayEstimate.GrayEstimate.computeSilenceRatio(survival));
+    });
+    return sum;
   }
 
   private recordLoad(load: attemptEnding.ReportedLoad, nowMs: number): void {
     this.othersLoad = Math.max(0, load.running + load.waiting - this.inFlight.size);
     this.reportedAtMs = nowMs;
   }
-
-  private expireEvidence(nowMs: number): void {
-    const kept = Math.exp((this.decayedAtMs - nowMs) / EVIDENCE_DECAY_MS);
-    this.decayedAtMs = nowMs;
-    this.failures *= kept;
-    this.total *= kept;
-  }
 }
--- a/packages/gateway/src/upstreams/ServicePool.ts
+++ b/packages/gateway/src/upstreams/ServicePool.ts
@@ -7,8 +7,8 @@
 import * as pooledInstance from './PooledInstance.js';
 import * as provenPlacement from './ProvenPlacement.js';
 
-// Instances whose failure is more likely than this get no request that cannot be repeated while the bound on leaving out permits.
-const HOPELESS_FAILURE = 0.5;
+// A request that cannot be repeated rather waits for a better instance than go to one that probably fails it.
+const DOUBTFUL_FAILURE = 0.4;
 
 /** Options of a `ServicePool`. */
 export interface ServicePoolOptions {
@@ -18,6 +18,11 @@
   readonly random: core.randomness.RandomSource;
 }
 
+interface ConsideredInstance {
+  readonly instance: pooledInstance.PooledInstance;
+  readonly failure: number;
+}
+
 /** Instances of one service, as one VM uses them. */
 export class ServicePool {
   private readonly instances = new Map<string, pooledInstance.PooledInstance>();
@@ -55,6 +60,14 @@
     return [...this.instances.values()];
   }
 
+  /**
+   * Gets an instance by its id.
+   * @param id - Id of the instance.
+   */
+  getInstance(id: string): pooledInstance.PooledInstance | undefined {
+    return this.instances.get(id);
+  }
+
   /**
    * Chooses an instance with room, or undefined if there is none.
    * @param kind - Kind of the request.
@@ -63,15 +76,14 @@
    */
   chooseInstance(kind: route.RequestKind, tried: readonly string[], nowMs: number): pooledInstance.PooledInstance | undefined {
     const policy = this.policies[kind];
+    const considered = this.listConsidered(kind, nowMs);
     let best: pooledInstance.PooledInstance | undefined;
     let bestCost = Infinity;
     // A loop, since this scan runs for each request.
-    this.instances.forEach((instance) => {
+    considered.forEach(({ instance, failure }) => {
       const record = instance.getRecord();
       const load = instance.estimateLoad(nowMs) / record.slots;
-      if (!ServicePool.isOpen(instance) || load > 1 - 0.5 / record.slots || tried.includes(record.id)) return;
-      const failure = instance.estimateFailure(nowMs);
-      if (kind === 'non-idempotent' && failure > HOPELESS_FAILURE) return;
+      if (load > 1 - 0.5 / record.slots || tried.includes(record.id)) return;
       const cost = policy.computeCost({
         failure,
         load,
@@ -86,6 +98,17 @@
     return best;
   }
 
+  // Doubtful instances are left out for requests that cannot be repeated, unless all are doubtful.
+  private listConsidered(kind: route.RequestKind, nowMs: number): ConsideredInstance[] {
+    const open: ConsideredInstance[] = [];
+    this.instances.forEach((instance) => {
+      if (ServicePool.isOpen(instance)) open.push({ instance, failure: instance.estimateFailure(nowMs) });
+    });
+    if (kind === 'idempotent') return open;
+    const sound = open.filter(({ failure }) => failure <= DOUBTFUL_FAILURE);
+    return sound.length > 0 ? sound : open;
+  }
+
   private static isOpen(instance: pooledInstance.PooledInstance): boolean {
     return instance.getRecord().state === 'ready';
   }
--- a/packages/gateway/src/vms/MembershipMessage.ts
+++ b/packages/gateway/src/vms/MembershipMessage.ts
@@ -1,5 +1,6 @@
 import type * as core from '@tamarackferry/core';
 
+import type * as evidenceRow from '../upstreams/EvidenceRow.js';
 import type * as vmHeartbeat from './VmHeartbeat.js';
 
 /** Answer to a caller that asks where to connect. */
@@ -23,12 +24,18 @@
     readonly extent: 'changed' | 'same';
     readonly configuration: 'known' | 'missing';
   }
+  | { readonly type: 'evidence-found'; readonly rows: readonly evidenceRow.EvidenceRow[] }
   | { readonly type: 'directory-asked'; readonly place: string; readonly replyTo: core.tasks.Mailbox<DirectoryAnswer> }
   | { readonly type: 'readiness-asked'; readonly replyTo: core.tasks.Mailbox<vmHeartbeat.VmState> };
 
-/** What the `MembershipTask` asks of the task that owns the datagram socket. */
-export interface MembershipOutput {
-  readonly type: 'send-heartbeat';
-  readonly hosts: readonly string[];
-  readonly heartbeat: vmHeartbeat.VmHeartbeat;
+/** Beliefs of one VM about instances. */
+export interface EvidenceNotice {
+  /** Name of the VM. */
+  readonly from: string;
+  readonly rows: readonly evidenceRow.EvidenceRow[];
 }
+
+/** What the `MembershipTask` asks of the task that owns the datagram socket. */
+export type MembershipOutput =
+  | { readonly type: 'send-heartbeat'; readonly hosts: readonly string[]; readonly heartbeat: vmHeartbeat.VmHeartbeat }
+  | { readonly type: 'send-evidence'; readonly hosts: readonly string[]; readonly notice: EvidenceNotice };
--- a/packages/gateway/src/vms/MembershipTask.ts
+++ b/packages/gateway/src/vms/MembershipTask.ts
@@ -110,6 +110,11 @@
       case 'catalog-read':
         this.handleCatalog(message);
         break;
+      case 'evidence-found':
+        this.options.outbox.post({
+          type: 'send-evidence', hosts: this.listEvidenceHosts(), notice: { from: this.options.self.name, rows: message.rows },
+        });
+        break;
       case 'directory-asked':
         message.replyTo.post({ hosts: this.listFronts(message.place), validityMs: this.options.validityMs });
         break;
@@ -192,6 +197,16 @@
     this.options.catalog.post({ type: 'role-chosen', role });
   }
 
+  // The VMs that callers are sent to decide about nearly all requests.
+  private listEvidenceHosts(): string[] {
+    const { self, frontsPerPlace } = this.options;
+    const nowMs = this.options.timers.getNowMs();
+    const places = new Set([self.place, ...[...this.vms.values()].map((vm) => vm.getTold().place)]);
+    return [...places]
+      .flatMap((place) => this.rankPlace(place, nowMs).slice(0, frontsPerPlace).map((vm) => vm.host))
+      .filter((host) => host !== self.host);
+  }
+
   private listFronts(place: string): string[] {
     const { self, frontsPerPlace } = this.options;
     const nowMs = this.options.timers.getNowMs();
