Leave out at most three in ten instances, and go by measured slots when requests wait

Ruled out: lack of slots, since a third was in use. Change: at most three in ten instances are left out, only for a tenth of the latency objective; the time that a request would wait follows the slots that the VM really got free.

--- a/packages/gateway/src/callers/AdmissionRule.ts
+++ b/packages/gateway/src/callers/AdmissionRule.ts
@@ -4,11 +4,13 @@
   readonly slots: number;
   /** Requests that go before this one. */
   readonly ahead: number;
+  /** Time between two slots that this VM gets free, in milliseconds; undefined if it is not known. */
+  readonly gapMs: number | undefined;
   /** Typical time that a request holds a slot, in milliseconds. */
   readonly serviceMs: number;
 }
 
-// Slots are shared with the other VMs that callers use; this share of them is counted on.
+// Slots are shared with the other VMs that callers use; this share of them is counted on until the VM has measured it.
 const OWN_SHARE = 0.5;
 
 // A refused caller that returns at once finds the same queue.
@@ -23,7 +25,8 @@
    */
   estimateWaitMs(load: ServiceLoad): number {
     if (load.slots === 0) return Infinity;
-    return ((load.ahead + 1) * load.serviceMs) / Math.max(1, load.slots * OWN_SHARE);
+    const gapMs = load.gapMs ?? load.serviceMs / Math.max(1, load.slots * OWN_SHARE);
+    return (load.ahead + 1) * gapMs;
   }
 
   /**
--- a/packages/gateway/src/callers/RoutedRequestTask.ts
+++ b/packages/gateway/src/callers/RoutedRequestTask.ts
@@ -30,6 +30,9 @@
 // A repeat that could not end in time would only take a slot.
 const REPEAT_TIME_QUANTILE = 0.5;
 
+// Share of the latency objective for which a request waits for a better instance than a doubtful one.
+const PATIENT_SHARE = 0.1;
+
 // Deadline of callers that state none, in milliseconds; the time-out of the route bounds it further.
 const DEFAULT_DEADLINE_MS = 30_000;
 
@@ -172,13 +175,14 @@
   }
 
   private serveQueue(desk: serviceDesk.ServiceDesk): void {
+    if (desk.queue.countWaiting() === 0) return;
     const nowMs = this.options.timers.getNowMs();
     desk.queue.listWaiting().forEach((request) => {
-      const { durations } = request.options;
-      if (request.computeLeftMs(nowMs) < durations.estimateQuantile(REPEAT_TIME_QUANTILE)) {
+      if (this.sendAttempt(request, desk)) desk.queue.remove(request);
+      else if (this.admission.decide(this.buildLoad(request, desk), request.computeLeftMs(nowMs)) === 'refuse') {
         desk.queue.remove(request);
         this.refuse(request, 'overloaded');
-      } else if (this.sendAttempt(request, desk)) desk.queue.remove(request);
+      }
     });
     if (desk.queue.countWaiting() > 0) this.startQueueTimer();
   }
@@ -186,7 +190,8 @@
   private sendAttempt(request: routedRequest.RoutedRequest, desk: serviceDesk.ServiceDesk): boolean {
     const { options } = request;
     const nowMs = this.options.timers.getNowMs();
-    const chosen = desk.pool.chooseInstance(options.route.kind, request.listTried(), nowMs);
+    const patience = nowMs - options.arrival.arrivedAtMs < options.route.objectiveMs * PATIENT_SHARE ? 'patient' : 'urgent';
+    const chosen = desk.pool.chooseInstance(options.route.kind, request.listTried(), nowMs, patience);
     if (chosen === undefined) return false;
     this.nextAttempt += 1;
     const attemptId = String(this.nextAttempt);
@@ -226,6 +231,7 @@
     this.attempts.delete(attemptId);
     attempt.state = 'ended';
     attempt.instance.end(attemptId, ending, this.options.timers.getNowMs());
+    this.getDesk(request.options.service).drain.record(this.options.timers.getNowMs());
     this.logAttempt(request, attempt, ending);
     if (request.state !== 'ended') this.settleRequest(request, ending);
     this.serveQueue(this.getDesk(request.options.service));
@@ -397,6 +403,7 @@
     return {
       slots: desk.pool.countSlots(),
       ahead: desk.queue.countBefore(request),
+      gapMs: desk.drain.estimateGapMs(this.options.timers.getNowMs()),
       serviceMs: request.options.durations.estimateQuantile(REPEAT_TIME_QUANTILE),
     };
   }
--- a/packages/gateway/src/callers/ServiceDesk.ts
+++ b/packages/gateway/src/callers/ServiceDesk.ts
@@ -1,4 +1,5 @@
 import * as servicePool from '../upstreams/ServicePool.js';
+import * as drainRate from './DrainRate.js';
 import * as repeatBudget from './RepeatBudget.js';
 import * as waitQueue from './WaitQueue.js';
 
@@ -16,6 +17,8 @@
 
   readonly budget: repeatBudget.RepeatBudget;
 
+  readonly drain = new drainRate.DrainRate();
+
   /** Connections that one instance accepts from all VMs together. */
   maxConnections = Infinity;
 
--- a/packages/gateway/src/callers/WaitQueue.ts
+++ b/packages/gateway/src/callers/WaitQueue.ts
@@ -42,7 +42,7 @@
    */
   countBefore(candidate: routedRequest.RoutedRequest): number {
     const urgency = WaitQueue.computeUrgency(candidate);
-    return this.waiting.filter((other) => WaitQueue.computeUrgency(other) <= urgency).length;
+    return this.waiting.filter((other) => other !== candidate && WaitQueue.computeUrgency(other) <= urgency).length;
   }
 
   private static computeUrgency(request: routedRequest.RoutedRequest): number {
--- a/packages/gateway/src/callers/index.ts
+++ b/packages/gateway/src/callers/index.ts
@@ -1,4 +1,5 @@
 export * from './AdmissionRule.js';
+export * from './DrainRate.js';
 export type * from './GatewayOutput.js';
 export * from './RepeatBudget.js';
 export type * from './RequestArrival.js';
--- a/packages/gateway/src/upstreams/ServicePool.ts
+++ b/packages/gateway/src/upstreams/ServicePool.ts
@@ -10,6 +10,9 @@
 // A request that cannot be repeated rather waits for a better instance than go to one that probably fails it.
 const DOUBTFUL_FAILURE = 0.4;
 
+// Share of the instances that may be left out: the rest must go on getting requests, whatever is believed of them.
+const MAX_LEFT_OUT_SHARE = 0.3;
+
 /** Options of a `ServicePool`. */
 export interface ServicePoolOptions {
   readonly service: string;
@@ -73,10 +76,16 @@
    * @param kind - Kind of the request.
    * @param tried - Ids of the instances that the request was sent to before.
    * @param nowMs - Present time.
+   * @param patience - Whether the request may wait for a better instance than a doubtful one.
    */
-  chooseInstance(kind: route.RequestKind, tried: readonly string[], nowMs: number): pooledInstance.PooledInstance | undefined {
+  chooseInstance(
+    kind: route.RequestKind,
+    tried: readonly string[],
+    nowMs: number,
+    patience: 'patient' | 'urgent' = 'patient',
+  ): pooledInstance.PooledInstance | undefined {
     const policy = this.policies[kind];
-    const considered = this.listConsidered(kind, nowMs);
+    const considered = this.listConsidered(kind === 'idempotent' ? 'urgent' : patience, nowMs);
     let best: pooledInstance.PooledInstance | undefined;
     let bestCost = Infinity;
     // A loop, since this scan runs for each request.
@@ -98,15 +107,17 @@
     return best;
   }
 
-  // Doubtful instances are left out for requests that cannot be repeated, unless all are doubtful.
-  private listConsidered(kind: route.RequestKind, nowMs: number): ConsideredInstance[] {
+  // The most doubtful instances are left out for a patient request.
+  private listConsidered(patience: 'patient' | 'urgent', nowMs: number): readonly ConsideredInstance[] {
     const open: ConsideredInstance[] = [];
     this.instances.forEach((instance) => {
       if (ServicePool.isOpen(instance)) open.push({ instance, failure: instance.estimateFailure(nowMs) });
     });
-    if (kind === 'idempotent') return open;
-    const sound = open.filter(({ failure }) => failure <= DOUBTFUL_FAILURE);
-    return sound.length > 0 ? sound : open;
+    if (patience === 'urgent' || open.every(({ failure }) => failure <= DOUBTFUL_FAILURE)) return open;
+    const kept = Math.ceil(open.length * (1 - MAX_LEFT_OUT_SHARE));
+    return open
+      .sort((left, right) => left.failure - right.failure)
+      .filter(({ failure }, index) => index < kept || failure <= DOUBTFUL_FAILURE);
   }
 
   private static isOpen(instance: pooledInstance.PooledInstance): boolean {
--- a/packages/gateway/test/upstreams/ServicePool.test.ts
+++ b/packages/gateway/test/upstreams/ServicePool.test.ts
@@ -50,17 +50,32 @@
     vitest.expect(pool.chooseInstance('non-idempotent', [], 700)).toBeDefined();
   });
 
-  vitest.it('leaves out an instance that keeps failing, unless there is no better one', () => {
-    const pool = buildPool([testRoute.buildInstance('i1', { slots: 20 }), testRoute.buildInstance('i2', { slots: 1 })]);
+  vitest.it('keeps a patient request from an instance that keeps failing, but not an urgent one', () => {
+    const pool = buildPool(['i1', 'i2', 'i3', 'i4'].map((id) => testRoute.buildInstance(id, { slots: 1 })));
     const failing = pool.getInstance('i1')!;
     ['a', 'b', 'c'].forEach((id) => {
       failing.begin(id, 0, buildDurations());
       failing.end(id, { type: 'reset' }, 1);
     });
-    pool.getInstance('i2')!.begin('d', 0, buildDurations());
-    vitest.expect(pool.chooseInstance('non-idempotent', [], 2)).toBeUndefined();
-    pool.setInstances([testRoute.buildInstance('i1', { slots: 20 })], 3);
-    vitest.expect(pool.chooseInstance('non-idempotent', [], 4)?.getRecord().id).toBe('i1');
+    ['i2', 'i3', 'i4'].forEach((id) => pool.getInstance(id)!.begin('d', 0, buildDurations()));
+    vitest.expect(pool.chooseInstance('non-idempotent', [], 2, 'patient')).toBeUndefined();
+    vitest.expect(pool.chooseInstance('non-idempotent', [], 2, 'urgent')).toBe(failing);
+  });
+
+  vitest.it('leaves out three in ten instances at most, whatever is believed of them', () => {
+    const pool = buildPool(Array.from({ length: 10 }, (_, index) => testRoute.buildInstance(`i${index}`, { slots: 4 })));
+    pool.listInstances().forEach((instance) => {
+      ['a', 'b', 'c'].forEach((id) => {
+        instance.begin(id, 0, buildDurations());
+        instance.end(id, { type: 'reset' }, 1);
+      });
+    });
+    const used = new Set(Array.from({ length: 28 }, (_, index) => {
+      const chosen = pool.chooseInstance('non-idempotent', [], 2, 'patient');
+      chosen?.begin(`x${index}`, 2, buildDurations());
+      return chosen?.getRecord().id;
+    }));
+    vitest.expect(used.size).toBe(7);
   });
 
   vitest.it('heeds what other VMs saw, but no single VM condemns an instance alone', () => {
