Test the sockets of the front and the adapter against stand-ins

Change: tests of connections to instances (reset, extra, foreign, short and unvouched answers), of the caller listener, of the store, the settings and the headers; a stand-in of the store written from its published protocol.

--- /dev/null
+++ b/packages/front/test/TestUpstreamDialect.ts
@@ -0,0 +1,18 @@
+import * as front from '@tamarackferry/front';
+import type * as gateway from '@tamarackferry/gateway';
+
+/** Dialect of tests towards instances: plain header names without a platform. */
+export class TestUpstreamDialect extends front.upstreams.UpstreamDialect {
+  override buildHeaders(attempt: Extract<gateway.callers.GatewayOutput, { type: 'send-attempt' }>): string[] {
+    return ['request-id', attempt.arrival.callerRequestId];
+  }
+
+  override readTerms(_: number, headers: ReadonlyMap<string, string>, callerRequestId: string): front.upstreams.ReplyTerms {
+    return {
+      echo: headers.get('request-id') === callerRequestId ? 'matched' : 'mismatched',
+      execution: headers.has('not-run') ? 'not-run' : 'may-have-run',
+      proof: headers.has('proof') ? 'present' : 'absent',
+      load: undefined,
+    };
+  }
+}
--- /dev/null
+++ b/packages/front/test/callers/FrontListener.test.ts
@@ -0,0 +1,111 @@
+import * as core from '@tamarackferry/core';
+import * as front from '@tamarackferry/front';
+import type * as gateway from '@tamarackferry/gateway';
+import * as vitest from 'vitest';
+
+import * as testCallerDialect from '../TestCallerDialect.js';
+import * as testCaller from './TestCaller.js';
+
+/** Listener under test with the messages that it posts. */
+class TestListener {
+  readonly messages: gateway.callers.RoutedRequestMessage[] = [];
+
+  readonly listener = new front.callers.FrontListener({
+    host: '127.0.0.1',
+    port: 0,
+    scheduler: new core.tasks.TaskScheduler(),
+    timers: new core.time.SystemTimerService(),
+    dialect: new testCallerDialect.TestCallerDialect(),
+    requests: { post: (message) => this.messages.push(message) },
+    onEvent: () => undefined,
+  });
+
+  /** Lists the requests that arrived. */
+  listArrivals(): gateway.callers.RequestArrival[] {
+    return this.messages.flatMap((message) => (message.type === 'request-arrived' ? [message.arrival] : []));
+  }
+
+  /**
+   * Answers a request.
+   * @param requestId - Id of the request.
+   * @param text - Body of the answer.
+   */
+  answer(requestId: string, text: string): void {
+    this.listener.post({ type: 'answer', requestId, answer: { status: 200, headers: ['kept', '1'], body: Buffer.from(text) } });
+  }
+}
+
+function buildRequest(id: string, body = ''): string {
+  return `POST /x/ HTTP/1.1\r\nHost: a\r\nrequest-id: ${id}\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
+}
+
+vitest.describe('FrontListener', () => {
+  let tested: TestListener;
+  let caller: testCaller.TestCaller;
+
+  vitest.beforeEach(async () => {
+    tested = new TestListener();
+    caller = await testCaller.TestCaller.connect((await tested.listener.listen())._unsafeUnwrap());
+  });
+
+  vitest.afterEach(() => {
+    caller.socket.destroy();
+    tested.listener.post({ type: 'close-listener' });
+  });
+
+  vitest.it('answers pipelined requests in their order, whichever is ready first', async () => {
+    caller.socket.write(buildRequest('q1') + buildRequest('q2'));
+    await vitest.vi.waitFor(() => vitest.expect(tested.listArrivals()).toHaveLength(2));
+    const [first, second] = tested.listArrivals();
+    tested.answer(second!.requestId, 'second');
+    tested.answer(first!.requestId, 'first');
+    await vitest.vi.waitFor(() => vitest.expect(caller.received).toMatch(/first[^]*second$/));
+    vitest.expect(caller.received).toContain('kept: 1');
+  });
+
+  vitest.it('forwards method, path, headers and a chunked body, but not the headers of the connection', async () => {
+    caller.socket.write('PUT /x/1?q=%20 HTTP/1.1\r\nHost: a\r\nrequest-id: q1\r\nConnection: keep-alive, other\r\nother: 1\r\nMore: 2\r\n'
+      + 'Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n');
+    await vitest.vi.waitFor(() => vitest.expect(tested.listArrivals()).toHaveLength(1));
+    const [arrival] = tested.listArrivals();
+    vitest.expect(arrival).toMatchObject({
+      method: 'PUT', path: '/x/1?q=%20', host: 'a', headers: ['request-id', 'q1', 'More', '2'],
+    });
+    vitest.expect(Buffer.from(arrival!.body).toString()).toBe('abcde');
+  });
+
+  vitest.it('tells of a caller that closed its connection, for each of its requests', async () => {
+    caller.socket.write(buildRequest('q1') + buildRequest('q2'));
+    await vitest.vi.waitFor(() => vitest.expect(tested.listArrivals()).toHaveLength(2));
+    caller.socket.destroy();
+    await vitest.vi.waitFor(() => vitest.expect(tested.messages.filter((message) => message.type === 'caller-gone')).toHaveLength(2));
+    vitest.expect(tested.listener.countOpen()).toBe(0);
+  });
+
+  vitest.it('refuses a request whose length is stated twice, so that none is smuggled behind it', async () => {
+    caller.socket.write('POST /x/ HTTP/1.1\r\nHost: a\r\nrequest-id: q1\r\ncontent-length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n');
+    await vitest.vi.waitFor(() => vitest.expect(caller.received).toMatch(/^HTTP\/1.1 400/));
+    vitest.expect(tested.listArrivals()).toHaveLength(0);
+  });
+
+  vitest.it('refuses a body above the limit of the configuration', async () => {
+    tested.listener.post({
+      type: 'limits-changed',
+      limits: {
+        headerBytes: 4_096, bodyBytes: 4, headerTimeoutMs: 3_000, idleTimeoutMs: 9_000,
+      },
+    });
+    caller.socket.write(buildRequest('q1', 'five!'));
+    await vitest.vi.waitFor(() => vitest.expect(caller.received).toMatch(/^HTTP\/1.1 413/));
+    vitest.expect(tested.listArrivals()).toHaveLength(0);
+  });
+
+  vitest.it('answers what it has read while it drains, and asks the caller to leave', async () => {
+    caller.socket.write(buildRequest('q1'));
+    await vitest.vi.waitFor(() => vitest.expect(tested.listArrivals()).toHaveLength(1));
+    tested.listener.post({ type: 'drain' });
+    tested.listener.post({ type: 'close-listener' });
+    tested.answer(tested.listArrivals()[0]!.requestId, 'late');
+    await vitest.vi.waitFor(() => vitest.expect(caller.received).toMatch(/connection: close[^]*late$/i));
+  });
+});
--- /dev/null
+++ b/packages/front/test/upstreams/RoutedConnections.test.ts
@@ -0,0 +1,136 @@
+import type * as net from 'node:net';
+import * as core from '@tamarackferry/core';
+import * as front from '@tamarackferry/front';
+import type * as gateway from '@tamarackferry/gateway';
+import * as vitest from 'vitest';
+
+import * as testUpstreamDialect from '../TestUpstreamDialect.js';
+import * as rawInstance from './RawInstance.js';
+
+// The caller has read the first part by then.
+const RESET_DELAY_MS = 50;
+
+type Ending = gateway.upstreams.AttemptEnding;
+
+/** Connections under test with the results of their attempts. */
+class TestConnections {
+  private readonly waiting = new Map<string, (ending: Ending) => void>();
+
+  private nextAttempt = 0;
+
+  readonly connections = new front.upstreams.RoutedConnections({
+    scheduler: new core.tasks.TaskScheduler(),
+    timers: new core.time.SystemTimerService(),
+    dialect: new testUpstreamDialect.TestUpstreamDialect(),
+    requests: {
+      post: (message) => {
+        if (message.type === 'attempt-ended') this.waiting.get(message.attemptId)?.(message.ending);
+      },
+    },
+  });
+
+  /**
+   * Sends an attempt and resolves to its result.
+   * @param port - Port of the instance.
+   * @param id - Id of the request.
+   */
+  sendAttempt(port: number, id: string): Promise<Ending> {
+    this.nextAttempt += 1;
+    const attemptId = String(this.nextAttempt);
+    this.connections.post({
+      type: 'send-attempt',
+      attemptId,
+      arrival: {
+        requestId: id, callerRequestId: id, method: 'POST', host: 'a', path: '/x/', headers: [], body: Buffer.from(rawInstance.RawInstance.BODY), deadlineMs: undefined, arrivedAtMs: 0,
+      },
+      instance: {
+        id: 'i1', service: 's1', host: '127.0.0.1', port, place: 'p1', slots: 4, state: 'ready', warmupMs: 0, startedAtMs: 1,
+      },
+      deadlineMs: 5_000,
+      connectionLimit: 10,
+    });
+    return new Promise((resolve) => {
+      this.waiting.set(attemptId, resolve);
+    });
+  }
+}
+
+vitest.describe('RoutedConnections', () => {
+  const tested = new TestConnections();
+  let instance: rawInstance.RawInstance | undefined;
+
+  async function startInstance(onRequest: (socket: net.Socket, requestId: string) => void): Promise<number> {
+    instance = new rawInstance.RawInstance(onRequest);
+    return instance.listen();
+  }
+
+  vitest.afterEach(() => instance?.close());
+
+  vitest.it('returns a whole answer and uses its connection again', async () => {
+    const port = await startInstance((socket, id) => socket.write(rawInstance.RawInstance.buildAnswer(id, 'whole')));
+    const first = await tested.sendAttempt(port, 'q1');
+    vitest.expect(first).toMatchObject({ type: 'answered', answer: { status: 200 } });
+    await tested.sendAttempt(port, 'q2');
+    vitest.expect(instance?.connections).toBe(1);
+  });
+
+  vitest.it('does not take a reset for the end of an answer without a length', async () => {
+    const port = await startInstance((socket, id) => {
+      socket.write(`HTTP/1.1 200 OK\r\nrequest-id: ${id}\r\nproof: 1\r\n\r\npart of the bo`);
+      new core.time.SystemTimerService().subscribe({
+        mailbox: { post: () => socket.resetAndDestroy() }, message: 'reset', delayMs: RESET_DELAY_MS,
+      });
+    });
+    vitest.expect(await tested.sendAttempt(port, 'q1')).toEqual({ type: 'broken' });
+  });
+
+  vitest.it('takes an orderly close for the end of an answer without a length', async () => {
+    const port = await startInstance((socket, id) => socket.end(`HTTP/1.1 200 OK\r\nrequest-id: ${id}\r\nproof: 1\r\n\r\nall`));
+    vitest.expect(await tested.sendAttempt(port, 'q1')).toMatchObject({ type: 'answered' });
+  });
+
+  vitest.it('returns no answer that is shorter than declared', async () => {
+    const port = await startInstance((socket, id) => socket.end(`HTTP/1.1 200 OK\r\nrequest-id: ${id}\r\nproof: 1\r\ncontent-length: 9\r\n\r\npart`));
+    vitest.expect(await tested.sendAttempt(port, 'q1')).toEqual({ type: 'broken' });
+  });
+
+  vitest.it('returns no answer to another request, and does not use its connection again', async () => {
+    const port = await startInstance((socket) => socket.write(rawInstance.RawInstance.buildAnswer('other', 'foreign')));
+    vitest.expect(await tested.sendAttempt(port, 'q1')).toEqual({ type: 'broken' });
+    await tested.sendAttempt(port, 'q2');
+    vitest.expect(instance?.connections).toBe(2);
+  });
+
+  vitest.it('returns no answer that the instance does not vouch for', async () => {
+    const port = await startInstance((socket, id) => socket.write(`HTTP/1.1 503 No\r\nrequest-id: ${id}\r\ncontent-length: 0\r\n\r\n`));
+    vitest.expect(await tested.sendAttempt(port, 'q1')).toEqual({ type: 'broken' });
+  });
+
+  vitest.it('does not take bytes after an answer for the answer to the next request', async () => {
+    const port = await startInstance((socket, id) => {
+      socket.write(rawInstance.RawInstance.buildAnswer(id, 'own') + rawInstance.RawInstance.buildAnswer(id, 'extra'));
+    });
+    vitest.expect(await tested.sendAttempt(port, 'q1')).toMatchObject({ type: 'answered' });
+    const second = await tested.sendAttempt(port, 'q2');
+    vitest.expect(second).toMatchObject({ type: 'answered' });
+    vitest.expect(instance?.connections).toBe(2);
+  });
+
+  vitest.it('tells a request that was never sent from one that may have run', async () => {
+    const port = await startInstance((socket) => socket.resetAndDestroy());
+    vitest.expect(await tested.sendAttempt(port, 'q1')).toEqual({ type: 'reset' });
+    instance?.close();
+    vitest.expect(await tested.sendAttempt(port, 'q2')).toEqual({ type: 'unsent' });
+  });
+
+  vitest.it('sends no request twice when its connection breaks', async () => {
+    const port = await startInstance((socket) => socket.destroy());
+    vitest.expect(await tested.sendAttempt(port, 'q1')).toEqual({ type: 'reset' });
+    vitest.expect(instance?.requests).toBe(1);
+  });
+
+  vitest.it('passes on the statement that a request has not run', async () => {
+    const port = await startInstance((socket) => socket.write('HTTP/1.1 503 Busy\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n'));
+    vitest.expect(await tested.sendAttempt(port, 'q1')).toMatchObject({ type: 'not-run' });
+  });
+});
--- /dev/null
+++ b/packages/standins/src/store/StoreStandin.ts
@@ -0,0 +1,174 @@
+import * as http from 'node:http';
+import type * as net from 'node:net';
+import * as core from '@tamarackferry/core';
+
+import type * as storeMode from './StoreMode.js';
+
+const DEFAULT_PAGE_ITEMS = 500;
+
+interface StoredItem {
+  readonly key: string;
+  readonly value: string;
+  readonly revision: number;
+  readonly create_rev: number;
+  readonly lease: number;
+}
+
+interface StoredRemoval {
+  readonly key: string;
+  readonly revision: number;
+  readonly deleted: true;
+}
+
+interface Waiter {
+  readonly prefix: string;
+  readonly after: number;
+  readonly response: http.ServerResponse;
+  readonly timeout: core.time.TimerSubscription;
+}
+
+/** Stand-in of the users' store, after its published protocol: items with revisions, pages and watches, all read only. */
+export class StoreStandin {
+  /** Calls that were answered or refused. */
+  calls = 0;
+
+  private readonly items = new Map<string, StoredItem>();
+
+  private history: (StoredItem | StoredRemoval)[] = [];
+
+  private historyStart = 0;
+
+  private revision = 1;
+
+  private mode: storeMode.StoreMode = 'serving';
+
+  private readonly waiters = new Set<Waiter>();
+
+  private readonly timers = new core.time.SystemTimerService();
+
+  private readonly server = http.createServer((request, response) => this.answerRequest(request, response));
+
+  /** @param pageItems - Greatest number of items in one page. */
+  constructor(private readonly pageItems = DEFAULT_PAGE_ITEMS) {}
+
+  /** Starts listening on loopback and resolves to host and port. */
+  listen(): Promise<string> {
+    return new Promise((resolve) => {
+      this.server.listen(0, '127.0.0.1', () => resolve(`127.0.0.1:${(this.server.address() as net.AddressInfo).port}`));
+    });
+  }
+
+  /** Stops listening and closes all connections. */
+  close(): void {
+    this.waiters.forEach((waiter) => waiter.timeout.cancel());
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  /**
+   * Sets how the store behaves.
+   * @param mode - Behaviour.
+   */
+  setMode(mode: storeMode.StoreMode): void {
+    this.mode = mode;
+  }
+
+  /**
+   * Stores a value.
+   * @param key - Key of the item.
+   * @param value - Value, as text; other values are stored as JSON.
+   */
+  setItem(key: string, value: unknown): void {
+    this.revision += 1;
+    const text = typeof value === 'string' ? value : JSON.stringify(value);
+    const item = {
+      key,
+      value: Buffer.from(text).toString('base64'),
+      revision: this.revision,
+      create_rev: this.items.get(key)?.create_rev ?? this.revision,
+      lease: 0,
+    };
+    this.items.set(key, item);
+    this.recordEvent(item);
+  }
+
+  /**
+   * Removes an item.
+   * @param key - Key of the item.
+   */
+  removeItem(key: string): void {
+    this.revision += 1;
+    this.items.delete(key);
+    this.recordEvent({ key, revision: this.revision, deleted: true });
+  }
+
+  /** Forgets all changes until now. */
+  dropHistory(): void {
+    this.history = [];
+    this.historyStart = this.revision;
+  }
+
+  private recordEvent(event: StoredItem | StoredRemoval): void {
+    this.history.push(event);
+    [...this.waiters].filter((waiter) => event.key.startsWith(waiter.prefix)).forEach((waiter) => this.answerWatch(waiter));
+  }
+
+  private answerRequest(request: http.IncomingMessage, response: http.ServerResponse): void {
+    this.calls += 1;
+    const url = new URL(request.url ?? '/', 'http://store');
+    const { searchParams } = url;
+    if (this.mode === 'silent') return;
+    if (this.mode === 'rejecting') {
+      response.writeHead(503).end();
+      return;
+    }
+    if (url.pathname === '/kv-key') this.answerKey(searchParams, response);
+    else if (url.pathname === '/kv-range') this.answerRange(searchParams, response);
+    else if (url.pathname === '/kv-watch') this.beginWatch(searchParams, response);
+    else response.writeHead(404).end();
+  }
+
+  private answerKey(query: URLSearchParams, response: http.ServerResponse): void {
+    const item = this.items.get(query.get('key') ?? '');
+    StoreStandin.sendAnswer(response, item === undefined ? 404 : 200, { ...item, store_revision: this.revision });
+  }
+
+  private answerRange(query: URLSearchParams, response: http.ServerResponse): void {
+    const prefix = query.get('prefix') ?? '';
+    const after = query.get('after') ?? '';
+    const found = [...this.items.values()]
+      .filter((item) => item.key.startsWith(prefix) && item.key > after)
+      .sort((left, right) => (left.key < right.key ? -1 : 1));
+    StoreStandin.sendAnswer(response, 200, {
+      items: found.slice(0, this.pageItems), truncated: found.length > this.pageItems, store_revision: this.revision,
+    });
+  }
+
+  private beginWatch(query: URLSearchParams, response: http.ServerResponse): void {
+    const waiter: Waiter = {
+      prefix: query.get('prefix') ?? '',
+      after: Number(query.get('after')),
+      response,
+      timeout: this.timers.subscribe({
+        mailbox: { post: () => this.answerWatch(waiter) }, message: 'over', delayMs: Number(query.get('wait_ms')),
+      }),
+    };
+    this.waiters.add(waiter);
+    if (waiter.after < this.historyStart || this.listEvents(waiter).length > 0) this.answerWatch(waiter);
+  }
+
+  private listEvents(waiter: Waiter): (StoredItem | StoredRemoval)[] {
+    return this.history.filter((event) => event.revision > waiter.after && event.key.startsWith(waiter.prefix));
+  }
+
+  private answerWatch(waiter: Waiter): void {
+    waiter.timeout.cancel();
+    if (!this.waiters.delete(waiter)) return;
+    const lost = waiter.after < this.historyStart;
+    StoreStandin.sendAnswer(waiter.response, lost ? 410 : 200, { events: this.listEvents(waiter), store_revision: this.revision });
+  }
+
+  private static sendAnswer(response: http.ServerResponse, status: number, body: object): void {
+    response.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify(body));
+  }
+}
--- /dev/null
+++ b/packages/standins/src/store/index.ts
@@ -0,0 +1,2 @@
+export type * from './StoreMode.js';
+export * from './StoreStandin.js';
