Revert the trial of one VM of a place and longer trust in reports of load

Under trouble requests waited for slots that the longer trust in reports took for used, and one VM of a place left no second address. Conclusion: two VMs of a place, and reports that fade within 600 ms, stay.

--- a/packages/front/src/vms/FrontProcess.ts
+++ b/packages/front/src/vms/FrontProcess.ts
@@ -15,7 +15,7 @@
 
 // Callers of a place are sent to this many of its VMs: few VMs see enough of each instance to notice within a few
 // requests that it has gone silent, and a second one takes over when the first is lost.
-const FRONTS_PER_PLACE = 1;
+const FRONTS_PER_PLACE = 2;
 
 // Callers may keep an answer three times as long as it says; they must have left a VM before it stops listening.
 const VALIDITY_MS = 1_200;
--- a/packages/gateway/src/upstreams/PooledInstance.ts
+++ b/packages/gateway/src/upstreams/PooledInstance.ts
@@ -3,9 +3,8 @@
 import * as grayEstimate from './GrayEstimate.js';
 import type * as instanceRecord from './InstanceRecord.js';
 
-// Reports of load describe the past: they count in full for about the time of a request, and not at all some time later.
-const LOAD_REPORT_FULL_MS = 250;
-const LOAD_REPORT_LIFETIME_MS = 1_000;
+// Reports of load describe the past; after this time nothing of one is left.
+const LOAD_REPORT_LIFETIME_MS = 600;
 
 interface InFlight {
   readonly sentAtMs: number;
@@ -124,8 +123,7 @@
    * @param nowMs - Present time.
    */
   estimateLoad(nowMs: number): number {
-    const fadedMs = Math.max(0, nowMs - this.reportedAtMs - LOAD_REPORT_FULL_MS);
-    const freshness = Math.max(0, 1 - fadedMs / (LOAD_REPORT_LIFETIME_MS - LOAD_REPORT_FULL_MS));
+    const freshness = Math.max(0, 1 - (nowMs - this.reportedAtMs) / LOAD_REPORT_LIFETIME_MS);
     return this.inFlight.size + this.othersLoad * freshness;
   }
 
--- a/packages/gateway/test/upstreams/ServicePool.test.ts
+++ b/packages/gateway/test/upstreams/ServicePool.test.ts
@@ -47,7 +47,7 @@
     instance.begin('a', 0, durations);
     instance.end('a', { type: 'answered', load: { running: 2, waiting: 0, slots: 2 }, answer: { status: 200, headers: [], body: new Uint8Array() } }, 10);
     vitest.expect(pool.chooseInstance('non-idempotent', [], 11)).toBeUndefined();
-    vitest.expect(pool.chooseInstance('non-idempotent', [], 1_200)).toBeDefined();
+    vitest.expect(pool.chooseInstance('non-idempotent', [], 700)).toBeDefined();
   });
 
   vitest.it('keeps a patient request from an instance that keeps failing, but not an urgent one', () => {
