--- /dev/null
+++ b/packages/gateway/test/contracts/CatalogTask.test.ts
@@ -0,0 +1,134 @@
+import * as core from '@tamarackferry/core';
+import * as gateway from '@tamarackferry/gateway';
+import * as vitest from 'vitest';
+
+import * as testRoute from '../TestRoute.js';
+
+type Output = gateway.contracts.CatalogOutput | gateway.callers.GatewayOutput;
+
+/** Catalog task under virtual time, with a record of what it asks for and tells. */
+class TestCatalog {
+  readonly timers = new core.time.VirtualTimerService(1_000);
+
+  readonly outputs: Output[] = [];
+
+  readonly told: gateway.callers.RoutedRequestMessage[] = [];
+
+  readonly announced: gateway.vms.MembershipMessage[] = [];
+
+  readonly task = new gateway.contracts.CatalogTask({
+    scheduler: new core.tasks.TaskScheduler(),
+    timers: this.timers,
+    random: new core.randomness.SeededRandomSource(1),
+    outbox: { post: (output) => this.outputs.push(output) },
+    requests: { post: (message) => this.told.push(message) },
+    membership: { post: (message) => this.announced.push(message) },
+  });
+
+  /**
+   * Counts the outputs of a type.
+   * @param type - Type of the output.
+   */
+  countOutputs(type: Output['type']): number {
+    return this.outputs.filter((output) => output.type === type).length;
+  }
+
+  /** Gets the instances that were told last. */
+  getTold(): string[] {
+    const last = this.told.findLast((message) => message.type === 'instances-changed');
+    return last?.type === 'instances-changed' ? last.records.map((record) => record.id) : [];
+  }
+}
+
+const INSTANCE: gateway.contracts.CatalogChange = {
+  type: 'instance', id: 'i1', revision: 5, record: testRoute.buildInstance('i1'),
+};
+const CONFIGURATION: gateway.contracts.CatalogChange = {
+  type: 'configuration', revision: 4, configuration: testRoute.buildConfiguration(3, []),
+};
+const SNAPSHOT = { revision: 5, changes: [CONFIGURATION, INSTANCE] };
+
+function buildWatcher(): TestCatalog {
+  const tested = new TestCatalog();
+  tested.task.post({ type: 'start' });
+  tested.task.post({ type: 'role-chosen', role: 'watcher' });
+  tested.task.post({ type: 'snapshot-read', snapshot: SNAPSHOT });
+  tested.timers.advanceTo(1_001);
+  return tested;
+}
+
+vitest.describe('CatalogTask', () => {
+  vitest.it('reads everything once and then watches for changes', () => {
+    const tested = buildWatcher();
+    vitest.expect(tested.countOutputs('read-snapshot')).toBe(1);
+    vitest.expect(tested.outputs).toContainEqual({ type: 'watch-changes', afterRevision: 5, waitMs: 2_000 });
+    vitest.expect(tested.getTold()).toEqual(['i1']);
+  });
+
+  vitest.it('reads everything again when the store has forgotten its history', () => {
+    const tested = buildWatcher();
+    tested.task.post({ type: 'history-lost' });
+    vitest.expect(tested.countOutputs('read-snapshot')).toBe(2);
+  });
+
+  vitest.it('tries again after a failure, at growing intervals of a second and a half at most', () => {
+    const tested = buildWatcher();
+    const gaps = Array.from({ length: 8 }, () => {
+      const before = tested.timers.getNowMs();
+      const watches = tested.countOutputs('watch-changes');
+      tested.task.post({ type: 'read-failed', reason: 'timed-out', detail: '' });
+      while (tested.countOutputs('watch-changes') === watches) tested.timers.advanceTo(tested.timers.getNowMs() + 10);
+      return tested.timers.getNowMs() - before;
+    });
+    vitest.expect(gaps[0]).toBeLessThanOrEqual(160);
+    vitest.expect(Math.max(...gaps)).toBeLessThanOrEqual(1_510);
+  });
+
+  vitest.it('relies on peers as a follower, and reads the store itself when they fall silent', () => {
+    const tested = new TestCatalog();
+    tested.task.post({ type: 'start' });
+    tested.task.post({
+      type: 'peer-heard', host: '10.0.0.2', revision: 5, confirmedAgeMs: 10,
+    });
+    vitest.expect(tested.outputs).toContainEqual({ type: 'fetch-news', host: '10.0.0.2', afterRevision: -1 });
+    tested.task.post({ type: 'peer-news', host: '10.0.0.2', news: { type: 'snapshot', confirmedAgeMs: 10, snapshot: SNAPSHOT } });
+    tested.timers.advanceTo(3_500);
+    vitest.expect(tested.countOutputs('watch-changes')).toBe(0);
+    tested.timers.advanceTo(5_000);
+    vitest.expect(tested.countOutputs('watch-changes')).toBe(1);
+  });
+
+  vitest.it('does not take old news of a peer that is cut off for a confirmation', () => {
+    const tested = new TestCatalog();
+    tested.task.post({ type: 'start' });
+    tested.task.post({ type: 'peer-news', host: '10.0.0.2', news: { type: 'snapshot', confirmedAgeMs: 60_000, snapshot: SNAPSHOT } });
+    vitest.expect(tested.told.filter((message) => message.type === 'catalog-state')).toEqual([]);
+    tested.timers.advanceTo(6_000);
+    vitest.expect(tested.countOutputs('watch-changes')).toBe(1);
+  });
+
+  vitest.it('keeps instances in use whose entries lapsed while the store was away, until they had time to come back', () => {
+    const tested = buildWatcher();
+    tested.timers.advanceTo(9_000);
+    tested.task.post({ type: 'changes-read', changes: [{ type: 'instance-removed', id: 'i1', revision: 9 }], revision: 9 });
+    vitest.expect(tested.getTold()).toEqual(['i1']);
+    tested.timers.advanceTo(11_500);
+    vitest.expect(tested.getTold()).toEqual([]);
+  });
+
+  vitest.it('gives up an instance at once whose entry goes while the store is there', () => {
+    const tested = buildWatcher();
+    tested.task.post({ type: 'changes-read', changes: [{ type: 'instance-removed', id: 'i1', revision: 9 }], revision: 9 });
+    vitest.expect(tested.getTold()).toEqual([]);
+  });
+
+  vitest.it('tells a peer what it lacks', () => {
+    const tested = buildWatcher();
+    const news: gateway.contracts.CatalogNews[] = [];
+    [-1, 5].forEach((afterRevision) => {
+      tested.task.post({ type: 'news-requested', afterRevision, replyTo: { post: (message) => news.push(message) } });
+    });
+    vitest.expect(news[0]).toMatchObject({ type: 'snapshot', snapshot: { revision: 5 } });
+    vitest.expect(news[1]).toMatchObject({ type: 'changes', changes: [], revision: 5 });
+  });
+});
--- /dev/null
+++ b/packages/gateway/test/upstreams/GrayEstimate.test.ts
@@ -0,0 +1,36 @@
+import * as gateway from '@tamarackferry/gateway';
+import * as vitest from 'vitest';
+
+vitest.describe('GrayEstimate', () => {
+  vitest.it('remembers a silent instance for the length of a gray spell, unless it answers again', () => {
+    const estimate = new gateway.upstreams.GrayEstimate(0);
+    [1, 2].forEach(() => estimate.recordSilence(0.01, 0));
+    vitest.expect(estimate.estimateFailure(0, 0)).toBeGreaterThan(0.6);
+    vitest.expect(estimate.estimateFailure(0, 6_000)).toBeGreaterThan(0.4);
+    [1, 2, 3, 4, 5, 6].forEach(() => estimate.recordSuccess(0.8, 6_000));
+    vitest.expect(estimate.estimateFailure(0, 6_000)).toBeLessThan(0.1);
+  });
+
+  vitest.it('does not condemn an instance for one failure of its own', () => {
+    const estimate = new gateway.upstreams.GrayEstimate(0);
+    [1, 2, 3].forEach(() => estimate.recordSuccess(0.8, 0));
+    estimate.recordFailure(0);
+    vitest.expect(estimate.estimateFailure(0, 0)).toBeLessThan(0.4);
+  });
+
+  vitest.it('takes answers that come far too late for a bad sign', () => {
+    const estimate = new gateway.upstreams.GrayEstimate(0);
+    [1, 2].forEach(() => estimate.recordSuccess(0.005, 0));
+    vitest.expect(estimate.estimateFailure(0, 0)).toBeGreaterThan(0.3);
+  });
+
+  vitest.it('tells others of strong beliefs once, and of their change', () => {
+    const sharing = new gateway.upstreams.EvidenceSharing();
+    const build = (deviation: number): gateway.upstreams.EvidenceRow[] => [{ instance: 'i1', service: 's1', deviation }];
+    vitest.expect(sharing.selectRows(build(1), 0)).toHaveLength(0);
+    vitest.expect(sharing.selectRows(build(2), 100)).toHaveLength(1);
+    vitest.expect(sharing.selectRows(build(2.2), 200)).toHaveLength(0);
+    vitest.expect(sharing.selectRows(build(0), 300)).toEqual(build(0));
+    vitest.expect(sharing.selectRows(build(0), 400)).toHaveLength(0);
+  });
+});
--- a/packages/standins/src/store/StoreStandin.ts
+++ b/packages/standins/src/store/StoreStandin.ts
@@ -92,6 +92,15 @@
     this.recordEvent(item);
   }
 
+  /**
+   * Gets the value of an item as text.
+   * @param key - Key of the item.
+   */
+  getItem(key: string): string | undefined {
+    const item = this.items.get(key);
+    return item === undefined ? undefined : Buffer.from(item.value, 'base64').toString('utf8');
+  }
+
   /**
    * Removes an item.
    * @param key - Key of the item.
