Do not count instances that could not be reached against the attempts of a route

Ruled out: a full service, no request was waiting. Change: such attempts cost neither an attempt nor the budget, and the request waits like a new one. Two of the new tests fail without the change.

--- a/packages/gateway/src/callers/RoutedRequest.ts
+++ b/packages/gateway/src/callers/RoutedRequest.ts
@@ -11,7 +11,8 @@
   readonly attemptId: string;
   readonly instance: pooledInstance.PooledInstance;
   readonly sentAtMs: number;
-  state: 'open' | 'ended';
+  /** `unsent`: ended before a byte of the request was written, so that no instance got it. */
+  state: 'open' | 'ended' | 'unsent';
 }
 
 /** Options of a `RoutedRequest`. */
@@ -45,6 +46,11 @@
     return this.attempts.map((attempt) => attempt.instance.getRecord().id);
   }
 
+  /** Counts the attempts that reached an instance, for all that is known. */
+  countSent(): number {
+    return this.attempts.filter((attempt) => attempt.state !== 'unsent').length;
+  }
+
   /** Whether an attempt is in flight. */
   hasOpenAttempt(): boolean {
     return this.attempts.some((attempt) => attempt.state === 'open');
--- a/packages/gateway/src/callers/RoutedRequestTask.ts
+++ b/packages/gateway/src/callers/RoutedRequestTask.ts
@@ -27,6 +27,9 @@
 const HEDGE_QUANTILE = 0.93;
 const MIN_HEDGE_MS = 20;
 
+// Instances that a request is tried at, those that could not be reached included.
+const MAX_TRIES = 5;
+
 // A repeat that could not end in time would only take a slot.
 const REPEAT_TIME_QUANTILE = 0.5;
 
@@ -212,7 +215,7 @@
       deadlineMs: Math.max(1, Math.floor(Math.min(request.computeLeftMs(nowMs), this.computeCallerLeftMs(request, nowMs)))),
       connectionLimit: Math.max(2, Math.floor(desk.maxConnections * CONNECTION_SHARE)),
     });
-    if (options.route.kind === 'idempotent' && request.attempts.length < options.route.maxAttempts) {
+    if (options.route.kind === 'idempotent' && request.countSent() < options.route.maxAttempts) {
       this.subscribe(request, 'hedge-due', Math.max(MIN_HEDGE_MS, options.durations.estimateQuantile(HEDGE_QUANTILE)));
     }
     return true;
@@ -229,7 +232,7 @@
     const attempt = request?.attempts.find((candidate) => candidate.attemptId === attemptId);
     if (request === undefined || attempt === undefined) return;
     this.attempts.delete(attemptId);
-    attempt.state = 'ended';
+    attempt.state = ending.type === 'unsent' ? 'unsent' : 'ended';
     attempt.instance.end(attemptId, ending, this.options.timers.getNowMs());
     this.getDesk(request.options.service).drain.record(this.options.timers.getNowMs());
     this.logAttempt(request, attempt, ending);
@@ -247,9 +250,11 @@
         }
         this.answer(request, ending.answer);
         return;
+      case 'unsent':
+        if (request.hasOpenAttempt() || this.resumeRequest(request)) return;
+        break;
       case 'not-run':
       case 'misdirected':
-      case 'unsent':
         if (request.hasOpenAttempt() || this.retryRequest(request)) return;
         break;
       default:
@@ -261,11 +266,20 @@
     else this.refuse(request, request.evidence === 'may-have-run' ? 'unknown' : 'overloaded');
   }
 
+  // An instance that could not be reached got nothing: the request is sent or waits as if it had just arrived.
+  private resumeRequest(request: routedRequest.RoutedRequest): boolean {
+    if (request.countSent() > 0) return this.retryRequest(request);
+    if (request.attempts.length >= MAX_TRIES) return false;
+    const desk = this.getDesk(request.options.service);
+    if (!this.sendAttempt(request, desk)) this.enqueueRequest(request, desk);
+    return true;
+  }
+
   // Sends the request to a further instance, if its route, the time left and the budget permit.
   private retryRequest(request: routedRequest.RoutedRequest): boolean {
     const { route, service, durations } = request.options;
     const nowMs = this.options.timers.getNowMs();
-    if (request.attempts.length >= route.maxAttempts) return false;
+    if (request.countSent() >= route.maxAttempts || request.attempts.length >= MAX_TRIES) return false;
     if (request.computeLeftMs(nowMs) < durations.estimateQuantile(REPEAT_TIME_QUANTILE)) return false;
     const desk = this.getDesk(service);
     return desk.pool.chooseInstance(route.kind, request.listTried(), nowMs) !== undefined
--- a/packages/gateway/test/callers/RoutedRequestTask.test.ts
+++ b/packages/gateway/test/callers/RoutedRequestTask.test.ts
@@ -40,6 +40,34 @@
     vitest.expect(tested.findOutcome(id)).toMatchObject({ type: 'refuse', reason: 'overloaded' });
   });
 
+  vitest.it('does not count instances that could not be reached against the attempts of the route', () => {
+    const tested = new testGateway.TestGateway([UNSAFE], INSTANCES, 0);
+    const id = tested.sendRequest();
+    tested.endAttempt('1', { type: 'unsent' });
+    tested.endAttempt('2', { type: 'unsent' });
+    vitest.expect(new Set(tested.listAttempts().map((attempt) => attempt.instance.id)).size).toBe(3);
+    tested.endAttempt('3');
+    vitest.expect(tested.findOutcome(id)).toMatchObject({ type: 'answer' });
+  });
+
+  vitest.it('lets a request wait for a slot when the only free instance could not be reached', () => {
+    const tested = new testGateway.TestGateway([UNSAFE], ['i1', 'i22'].map((id) => testRoute.buildInstance(id, { slots: 1 })));
+    tested.sendRequest();
+    const second = tested.sendRequest();
+    tested.endAttempt('2', { type: 'unsent' });
+    vitest.expect(tested.findOutcome(second)).toBeUndefined();
+    tested.endAttempt('1');
+    vitest.expect(tested.listAttempts()).toHaveLength(3);
+  });
+
+  vitest.it('says that a request has not run when no instance could be reached', () => {
+    const tested = new testGateway.TestGateway([UNSAFE], [testRoute.buildInstance('i1')]);
+    const id = tested.sendRequest();
+    tested.endAttempt('1', { type: 'unsent' });
+    tested.timers.advanceTo(2_001);
+    vitest.expect(['overloaded', 'too-late']).toContain((tested.findOutcome(id) as { reason: string }).reason);
+  });
+
   vitest.it('does not call a request "not run" after one of two attempts may have run', () => {
     const tested = new testGateway.TestGateway([SAFE], INSTANCES);
     const id = tested.sendRequest();
