--- a/packages/front/src/vms/FrontProcess.ts
+++ b/packages/front/src/vms/FrontProcess.ts
@@ -11,6 +11,7 @@
 import type * as frontDialects from './FrontDialects.js';
 import type * as frontSettings from './FrontSettings.js';
 import * as readinessListener from './ReadinessListener.js';
+import * as standardLogOutput from './StandardLogOutput.js';
 import * as structuredLog from './StructuredLog.js';
 
 // Callers of a place are sent to this many of its VMs: few VMs see enough of each instance to notice within a few
@@ -84,7 +85,7 @@
     this.ended = new Promise((resolve) => {
       this.notifyEnded = resolve;
     });
-    this.log = new structuredLog.StructuredLog(timers, settings.name);
+    this.log = new structuredLog.StructuredLog(timers, settings.name, new standardLogOutput.StandardLogOutput());
     const onEvent = (event: string, fields: gateway.callers.LogFields): void => this.record(event, fields);
     const outbox = { post: (output: DecisionOutput) => this.deliver(output) };
     const frontCount = FRONTS_PER_PLACE * settings.placeCount;
--- a/packages/front/src/vms/StructuredLog.ts
+++ b/packages/front/src/vms/StructuredLog.ts
@@ -1,9 +1,8 @@
-import * as fs from 'node:fs';
 import type * as core from '@tamarackferry/core';
 import type * as gateway from '@tamarackferry/gateway';
 import * as consola from 'consola/basic';
 
-const STANDARD_OUTPUT = 1;
+import type * as logOutput from './LogOutput.js';
 
 // Lines of one event in one second; failures come first in an investigation, so that successes get less.
 const LINES_PER_EVENT = 40;
@@ -15,9 +14,9 @@
 const FLUSH_DELAY_MS = 200;
 const SECOND_MS = 1_000;
 
-/** Writes one JSON line for each event to the standard output, at a bounded rate and without blocking. */
+/** Writes one JSON line for each event, at a bounded rate and without blocking. */
 export class StructuredLog implements core.tasks.Mailbox<{ readonly type: 'flush' }> {
-  private readonly output = consola.createConsola({
+  private readonly formatter = consola.createConsola({
     level: 3, reporters: [{ log: (entry) => this.pushLine(JSON.stringify(entry.args[0])) }],
   });
 
@@ -38,8 +37,13 @@
   /**
    * @param timers - Timer service of the process.
    * @param name - Name of the VM.
+   * @param output - Where the lines go.
    */
-  constructor(private readonly timers: core.time.TimerService, private readonly name: string) {}
+  constructor(
+    private readonly timers: core.time.TimerService,
+    private readonly name: string,
+    private readonly output: logOutput.LogOutput,
+  ) {}
 
   /**
    * Writes one line, unless the bound of its event or of all events is reached.
@@ -56,19 +60,14 @@
     }
     this.written.set(event, count + 1);
     this.total += 1;
-    this.output.log({
+    this.formatter.log({
       ms: Math.round(nowMs), vm: this.name, event, ...fields,
     });
   }
 
   /** Writes what is buffered before the process ends. */
   flush(): void {
-    if (this.lines.length === 0) return;
-    try {
-      fs.writeSync(STANDARD_OUTPUT, this.takeLines());
-    } catch {
-      // The reader is gone or does not read; there is nowhere left to report it.
-    }
+    if (this.lines.length > 0) this.output.writeLast(this.takeLines());
   }
 
   /** @internal */
@@ -78,8 +77,7 @@
       return;
     }
     this.state = 'writing';
-    // Written by a thread of the pool, so that a full pipe does not hold up requests.
-    fs.write(STANDARD_OUTPUT, this.takeLines(), () => {
+    this.output.write(this.takeLines(), () => {
       this.state = 'idle';
       this.scheduleFlush();
     });
@@ -111,7 +109,7 @@
     if (this.omitted === 0) return;
     const { omitted } = this;
     this.omitted = 0;
-    this.output.log({
+    this.formatter.log({
       ms: Math.round(nowMs), vm: this.name, event: 'lines-omitted', count: omitted,
     });
   }
--- a/packages/front/src/vms/index.ts
+++ b/packages/front/src/vms/index.ts
@@ -1,5 +1,7 @@
 export type * from './FrontDialects.js';
 export * from './FrontProcess.js';
 export type * from './FrontSettings.js';
+export * from './LogOutput.js';
 export * from './ReadinessListener.js';
+export * from './StandardLogOutput.js';
 export * from './StructuredLog.js';
