Replay load patterns against the decisions, and set four figures by it

Change: LoadReplay drives six VMs with gray spells, overload, a burst and slow instances under virtual time.

--- a/packages/gateway/src/upstreams/ExploringPlacement.ts
+++ b/packages/gateway/src/upstreams/ExploringPlacement.ts
@@ -5,8 +5,9 @@
 
 const LOAD_COST = 0.03;
 
-// Draws trial requests to instances that were not used for a while, so that all are known when they are needed.
-const IDLE_GAIN = 0.06;
+// Draws trial requests to instances that were not used for a while, so that all are known when they are needed. Smaller than
+// the cost of another place: each place tries its own instances and tells the others.
+const IDLE_GAIN = 0.03;
 const IDLE_SPAN_MS = 2_000;
 
 /** Sends requests that may be repeated to instances of which little is known. */
--- a/packages/gateway/src/upstreams/GrayEstimate.ts
+++ b/packages/gateway/src/upstreams/GrayEstimate.ts
@@ -1,8 +1,8 @@
-// Log odds that an instance of which nothing is known fails most requests: about one in twelve.
-const PRIOR_LOG_ODDS = -2.4;
+// Log odds that an instance of which nothing is known fails most requests: about one in eight.
+const PRIOR_LOG_ODDS = -2;
 
 // Gray spells last about ten seconds; without news the estimate returns to the prior in that time.
-const RELAX_MS = 15_000;
+const RELAX_MS = 10_000;
 
 const MIN_LOG_ODDS = -4;
 const MAX_LOG_ODDS = 5;
--- a/packages/gateway/src/upstreams/PlacementPolicy.ts
+++ b/packages/gateway/src/upstreams/PlacementPolicy.ts
@@ -11,7 +11,7 @@
 }
 
 // A request to another place takes about 9 ms longer and its bytes are charged; it is worth that to avoid a doubtful instance.
-const OTHER_PLACE_COST = 0.04;
+const OTHER_PLACE_COST = 0.08;
 
 // An instance that is still slow takes about twice as long.
 const WARMING_COST = 0.05;
--- /dev/null
+++ b/packages/gateway/test/LoadReplay.test.ts
@@ -0,0 +1,66 @@
+import * as vitest from 'vitest';
+
+import type * as loadPattern from './LoadPattern.js';
+import * as loadPatterns from './loadPatterns.js';
+import * as loadReplay from './LoadReplay.js';
+
+const SEEDS = [1, 2, 3, 4, 5];
+const PATTERNS: readonly (readonly [string, loadPattern.LoadPattern])[] = [
+  ['quiet', loadPatterns.QUIET], ['overload', loadPatterns.OVERLOAD], ['burst', loadPatterns.BURST], ['slow instances', loadPatterns.SLOW],
+];
+
+// The users' target of a day with trouble needs about 96 of 100 requests served.
+const TARGET_SERVED = 0.96;
+
+// Bounds of the users' rules: repeats of all VMs, and how far a more urgent route may fall behind a less urgent one.
+const REPEAT_RATIO = 0.2;
+const REPEAT_SLACK = 56;
+const RANK_TOLERANCE = 0.05;
+
+function replayPattern(pattern: loadPattern.LoadPattern, seed: number): loadReplay.LoadReplay {
+  const replay = new loadReplay.LoadReplay(pattern, seed);
+  replay.run();
+  return replay;
+}
+
+function computeServed(result: loadReplay.RouteResult): number {
+  return (result.onTime + result.late) / Math.max(1, result.asked);
+}
+
+vitest.describe('replay of load patterns', () => {
+  vitest.it('serves the target while gray spells come and go at a third of the slots', () => {
+    const served = SEEDS.map((seed) => replayPattern(loadPatterns.QUIET, seed).computeBenefit());
+    vitest.expect(served.reduce((sum, share) => sum + share, 0) / SEEDS.length).toBeGreaterThanOrEqual(TARGET_SERVED);
+  });
+
+  vitest.it.each(PATTERNS)('holds no request for long that it then refuses (%s)', (_, pattern) => {
+    SEEDS.forEach((seed) => {
+      const held = [...replayPattern(pattern, seed).results.values()].reduce((sum, result) => sum + result.heldInVain, 0);
+      vitest.expect(held).toBe(0);
+    });
+  });
+
+  vitest.it.each(PATTERNS)('keeps the repeats within the budget of all VMs (%s)', (_, pattern) => {
+    SEEDS.forEach((seed) => {
+      const replay = replayPattern(pattern, seed);
+      const asked = [...replay.results.values()].reduce((sum, result) => sum + result.asked, 0);
+      vitest.expect(replay.repeats).toBeLessThanOrEqual(asked * REPEAT_RATIO + REPEAT_SLACK);
+    });
+  });
+
+  vitest.it.each(PATTERNS)('starves no route, and serves none behind a less urgent one of its service (%s)', (_, pattern) => {
+    SEEDS.forEach((seed) => {
+      const replay = replayPattern(pattern, seed);
+      const all = [...replay.results.values()];
+      const asked = all.reduce((sum, result) => sum + result.asked, 0);
+      const overall = all.reduce((sum, result) => sum + result.onTime + result.late, 0) / asked;
+      all.forEach((result) => vitest.expect(computeServed(result)).toBeGreaterThan(overall / 4));
+      pattern.routes.forEach((urgent) => pattern.routes
+        .filter((other) => other.service === urgent.service && other.rank > urgent.rank)
+        .forEach((other) => {
+          vitest.expect(computeServed(replay.results.get(urgent.name)!))
+            .toBeGreaterThanOrEqual(computeServed(replay.results.get(other.name)!) - RANK_TOLERANCE);
+        }));
+    });
+  });
+});
--- /dev/null
+++ b/packages/gateway/test/LoadReplay.ts
@@ -0,0 +1,213 @@
+import * as core from '@tamarackferry/core';
+import * as gateway from '@tamarackferry/gateway';
+
+import type * as loadPattern from './LoadPattern.js';
+import * as simulatedInstance from './SimulatedInstance.js';
+import * as testRoute from './TestRoute.js';
+
+const PLACES = ['p1', 'p2', 'p3'];
+const PLACE_DELAY_MS = 4.5;
+const PEER_DELAY_MS = 6;
+const SHARE_OF_EVIDENCE_SLACK = 5;
+
+/** What callers of one route got, in counts. */
+export interface RouteResult {
+  asked: number;
+  onTime: number;
+  late: number;
+  refused: number;
+  failed: number;
+  /** Requests that were held for over half of the objective and then refused without having been sent. */
+  heldInVain: number;
+}
+
+interface SentAttempt {
+  readonly instance: simulatedInstance.SimulatedInstance;
+  readonly vm: number;
+  readonly route: string;
+}
+
+/** Replays a load pattern against the decisions of several VMs under virtual time. */
+export class LoadReplay {
+  readonly results = new Map<string, RouteResult>();
+
+  /** Attempts beyond the first of each request. */
+  repeats = 0;
+
+  private readonly timers = new core.time.VirtualTimerService();
+
+  private readonly random: core.randomness.RandomSource;
+
+  private readonly instances = new Map<string, simulatedInstance.SimulatedInstance>();
+
+  private readonly vms: gateway.callers.RoutedRequestTask[] = [];
+
+  private readonly arrivals = new Map<string, { readonly route: string; readonly atMs: number; sent: number }>();
+
+  private readonly attempts = new Map<string, SentAttempt>();
+
+  private nextRequest = 0;
+
+  /**
+   * @param pattern - Load and faults.
+   * @param seed - Seed of the randomness.
+   */
+  constructor(private readonly pattern: loadPattern.LoadPattern, seed: number) {
+    this.random = new core.randomness.SeededRandomSource(seed);
+    pattern.routes.forEach((route) => this.results.set(route.name, {
+      asked: 0, onTime: 0, late: 0, refused: 0, failed: 0, heldInVain: 0,
+    }));
+    this.startInstances();
+    PLACES.flatMap((place) => Array.from({ length: pattern.vmsPerPlace }, () => place)).forEach((place, vm) => this.startVm(place, vm));
+  }
+
+  /** Plays the whole pattern. */
+  run(): void {
+    this.pattern.routes.forEach((route) => this.scheduleArrival(route.name));
+    this.timers.advanceTo(this.pattern.lengthMs + 5_000);
+  }
+
+  /**
+   * Computes the share of the benefit that was earned: late answers count half.
+   * @param routeName - Name of the route; all routes if not given.
+   */
+  computeBenefit(routeName?: string): number {
+    const counted = [...this.results].filter(([name]) => routeName === undefined || name === routeName).map(([, result]) => result);
+    const sum = (pick: (result: RouteResult) => number): number => counted.reduce((total, result) => total + pick(result), 0);
+    return sum((result) => result.onTime + result.late / 2) / Math.max(1, sum((result) => result.asked));
+  }
+
+  private startInstances(): void {
+    this.pattern.services.forEach((service) => Array.from({ length: service.instances }, (_, index) => {
+      const id = `${service.name}-${index}`;
+      this.instances.set(id, new simulatedInstance.SimulatedInstance({
+        record: testRoute.buildInstance(id, { service: service.name, place: PLACES[index % PLACES.length]!, slots: service.slots }),
+        timers: this.timers,
+        random: this.random,
+        pattern: this.pattern,
+      }));
+      return id;
+    }));
+  }
+
+  private startVm(place: string, vm: number): void {
+    const task = new gateway.callers.RoutedRequestTask({
+      scheduler: new core.tasks.TaskScheduler(),
+      timers: this.timers,
+      random: this.random,
+      outbox: { post: (output) => this.handleOutput(vm, output) },
+      place,
+      budget: { ratio: 0.16, slack: SHARE_OF_EVIDENCE_SLACK, windowMs: 10_000 },
+    });
+    this.vms.push(task);
+    task.post({
+      type: 'configuration-changed',
+      configuration: testRoute.buildConfiguration(1, this.pattern.routes.map((route) => testRoute.buildRoute({
+        name: route.name,
+        prefix: `/${route.name}/`,
+        kind: route.kind,
+        timeoutMs: route.deadlineMs,
+        objectiveMs: route.objectiveMs,
+        rank: route.rank,
+        targets: [{ service: route.service, weight: 1 }],
+      }))),
+    });
+    task.post({ type: 'instances-changed', records: [...this.instances.values()].map((instance) => instance.options.record) });
+    task.post({ type: 'catalog-state', state: 'current' });
+  }
+
+  private scheduleArrival(routeName: string): void {
+    const route = this.pattern.routes.find((candidate) => candidate.name === routeName)!;
+    const nowMs = this.timers.getNowMs();
+    if (nowMs >= this.pattern.lengthMs) return;
+    const { burst } = this.pattern;
+    const factor = burst !== undefined && nowMs >= burst.fromMs && nowMs < burst.toMs ? burst.factor : 1;
+    const gapMs = (-Math.log(1 - this.random.drawFraction()) * 1_000) / (route.perSecond * factor);
+    this.schedule(gapMs, () => {
+      this.sendRequest(route);
+      this.scheduleArrival(routeName);
+    });
+  }
+
+  private sendRequest(route: loadPattern.LoadRoute): void {
+    this.nextRequest += 1;
+    const requestId = `q${this.nextRequest}`;
+    const atMs = this.timers.getNowMs();
+    this.arrivals.set(requestId, { route: route.name, atMs, sent: 0 });
+    this.results.get(route.name)!.asked += 1;
+    this.vms[this.random.drawInteger(this.vms.length)]!.post({
+      type: 'request-arrived',
+      arrival: {
+        requestId,
+        callerRequestId: requestId,
+        method: 'POST',
+        host: 'a.example',
+        path: `/${route.name}/`,
+        headers: [],
+        body: new Uint8Array(),
+        deadlineMs: route.deadlineMs,
+        arrivedAtMs: atMs,
+      },
+    });
+  }
+
+  private handleOutput(vm: number, output: gateway.callers.GatewayOutput): void {
+    switch (output.type) {
+      case 'send-attempt':
+        this.sendAttempt(vm, output);
+        break;
+      case 'cancel-attempt':
+        this.endAttempt(`${vm}/${output.attemptId}`, { type: 'cancelled' });
+        break;
+      case 'evidence-found':
+        this.schedule(PEER_DELAY_MS, () => this.vms.filter((_, other) => other !== vm)
+          .forEach((other) => other.post({ type: 'peer-evidence', from: String(vm), rows: output.rows })));
+        break;
+      case 'answer':
+      case 'refuse':
+        this.countOutcome(output);
+        break;
+      default:
+        break;
+    }
+  }
+
+  private sendAttempt(vm: number, sent: Extract<gateway.callers.GatewayOutput, { type: 'send-attempt' }>): void {
+    const key = `${vm}/${sent.attemptId}`;
+    const arrival = this.arrivals.get(sent.arrival.requestId)!;
+    arrival.sent += 1;
+    if (arrival.sent > 1) this.repeats += 1;
+    const instance = this.instances.get(sent.instance.id)!;
+    this.attempts.set(key, { instance, vm, route: arrival.route });
+    const route = this.pattern.routes.find((candidate) => candidate.name === arrival.route)!;
+    this.schedule(PLACE_DELAY_MS, () => instance.receive(key, route.workMs, (ending) => {
+      this.schedule(PLACE_DELAY_MS, () => this.endAttempt(key, ending));
+    }));
+  }
+
+  private endAttempt(key: string, ending: gateway.upstreams.AttemptEnding): void {
+    const attempt = this.attempts.get(key);
+    if (attempt === undefined) return;
+    this.attempts.delete(key);
+    if (ending.type === 'cancelled') this.schedule(PLACE_DELAY_MS, () => attempt.instance.cancel(key));
+    this.vms[attempt.vm]!.post({ type: 'attempt-ended', attemptId: key.split('/')[1]!, ending });
+  }
+
+  private countOutcome(output: Extract<gateway.callers.GatewayOutput, { type: 'answer' | 'refuse' }>): void {
+    const arrival = this.arrivals.get(output.requestId)!;
+    const result = this.results.get(arrival.route)!;
+    const route = this.pattern.routes.find((candidate) => candidate.name === arrival.route)!;
+    const elapsedMs = this.timers.getNowMs() - arrival.atMs;
+    if (output.type === 'answer' && output.answer.status < 300) {
+      if (elapsedMs <= route.objectiveMs) result.onTime += 1;
+      else result.late += 1;
+    } else if (output.type === 'refuse' && output.reason !== 'timed-out' && output.reason !== 'unknown') {
+      result.refused += 1;
+      if (arrival.sent === 0 && elapsedMs > route.objectiveMs / 2) result.heldInVain += 1;
+    } else result.failed += 1;
+  }
+
+  private schedule(delayMs: number, run: () => void): void {
+    this.timers.subscribe({ mailbox: { post: run }, message: undefined, delayMs });
+  }
+}
--- /dev/null
+++ b/packages/gateway/test/SimulatedInstance.ts
@@ -0,0 +1,111 @@
+import type * as core from '@tamarackferry/core';
+import type * as gateway from '@tamarackferry/gateway';
+
+import type * as loadPattern from './LoadPattern.js';
+import * as testGateway from './TestGateway.js';
+
+const QUEUE_LENGTH = 16;
+const WORK_SPREAD = 0.3;
+const FAILURE_SHARE = 0.012;
+
+interface Work {
+  readonly key: string;
+  readonly workMs: number;
+  readonly reply: (ending: gateway.upstreams.AttemptEnding) => void;
+}
+
+/** Options of a `SimulatedInstance`. */
+export interface SimulatedInstanceOptions {
+  readonly record: gateway.upstreams.InstanceRecord;
+  readonly timers: core.time.TimerService;
+  readonly random: core.randomness.RandomSource;
+  readonly pattern: loadPattern.LoadPattern;
+}
+
+/** Instance with slots, a queue, failures of its own and gray spells. A silent request holds its slot until it is cancelled. */
+export class SimulatedInstance {
+  private readonly running = new Map<string, core.time.TimerSubscription | undefined>();
+
+  private waiting: Work[] = [];
+
+  private spans = new Map<number, 'gray' | 'healthy'>();
+
+  private readonly speed: 'slow' | 'usual';
+
+  /** @param options - Instance and pattern. */
+  constructor(readonly options: SimulatedInstanceOptions) {
+    this.speed = options.random.drawFraction() < (options.pattern.slow?.share ?? 0) ? 'slow' : 'usual';
+  }
+
+  /**
+   * Takes a request.
+   * @param key - Key of the attempt.
+   * @param workMs - Mean time of the work.
+   * @param reply - Gets the answer, if one comes.
+   */
+  receive(key: string, workMs: number, reply: Work['reply']): void {
+    const work = { key, workMs, reply };
+    if (this.running.size < this.options.record.slots) this.start(work);
+    else if (this.waiting.length < QUEUE_LENGTH) this.waiting.push(work);
+    else reply({ type: 'not-run', load: this.buildLoad() });
+  }
+
+  /**
+   * Drops a request whose connection was closed.
+   * @param key - Key of the attempt.
+   */
+  cancel(key: string): void {
+    this.waiting = this.waiting.filter((work) => work.key !== key);
+    if (!this.running.has(key)) return;
+    this.running.get(key)?.cancel();
+    this.finish(key);
+  }
+
+  private start(work: Work): void {
+    const { timers, random, pattern } = this.options;
+    if (this.isGray() && random.drawFraction() < pattern.gray.silentShare) {
+      this.running.set(work.key, undefined);
+      return;
+    }
+    const normal = Math.sqrt(-2 * Math.log(1 - random.drawFraction())) * Math.cos(2 * Math.PI * random.drawFraction());
+    const delayMs = work.workMs * Math.exp(WORK_SPREAD * normal - (WORK_SPREAD ** 2) / 2) * this.computeSlowness();
+    const status = random.drawFraction() < FAILURE_SHARE ? 500 : 200;
+    this.running.set(work.key, timers.subscribe({
+      mailbox: {
+        post: () => {
+          this.finish(work.key);
+          const ending = testGateway.TestGateway.buildAnswer(status);
+          work.reply(ending.type === 'answered' ? { ...ending, load: this.buildLoad() } : ending);
+        },
+      },
+      message: undefined,
+      delayMs,
+    }));
+  }
+
+  private finish(key: string): void {
+    this.running.delete(key);
+    const next = this.waiting.shift();
+    if (next !== undefined) this.start(next);
+  }
+
+  private buildLoad(): gateway.upstreams.ReportedLoad {
+    return { running: this.running.size, waiting: this.waiting.length, slots: this.options.record.slots };
+  }
+
+  private computeSlowness(): number {
+    const { slow } = this.options.pattern;
+    const nowMs = this.options.timers.getNowMs();
+    return slow !== undefined && this.speed === 'slow' && nowMs >= slow.fromMs && nowMs < slow.toMs ? slow.factor : 1;
+  }
+
+  private isGray(): boolean {
+    const { gray } = this.options.pattern;
+    const span = Math.floor(this.options.timers.getNowMs() / gray.spanMs);
+    const known = this.spans.get(span);
+    if (known !== undefined) return known === 'gray';
+    const drawn = this.options.random.drawFraction() < gray.share ? 'gray' : 'healthy';
+    this.spans.set(span, drawn);
+    return drawn === 'gray';
+  }
+}
--- /dev/null
+++ b/packages/gateway/test/loadPatterns.ts
@@ -0,0 +1,57 @@
+import type * as loadPattern from './LoadPattern.js';
+
+const GRAY = { share: 0.3, spanMs: 9_000, silentShare: 0.75 };
+
+/** Orders, lookups and charges at a third of the slots, with gray spells that come all the time. */
+export const QUIET: loadPattern.LoadPattern = {
+  lengthMs: 30_000,
+  vmsPerPlace: 2,
+  services: [{ name: 's1', instances: 21, slots: 4 }, { name: 's2', instances: 6, slots: 4 }],
+  routes: [
+    {
+      name: 'lookup', service: 's1', kind: 'idempotent', perSecond: 19, workMs: 220, objectiveMs: 1_000, deadlineMs: 2_000, rank: 2,
+    },
+    {
+      name: 'order', service: 's1', kind: 'non-idempotent', perSecond: 55, workMs: 290, objectiveMs: 1_000, deadlineMs: 2_000, rank: 1,
+    },
+    {
+      name: 'charge', service: 's2', kind: 'non-idempotent', perSecond: 18, workMs: 150, objectiveMs: 500, deadlineMs: 1_000, rank: 0,
+    },
+  ],
+  gray: GRAY,
+};
+
+/** The same with fourteen instances of the first service and twice the requests: as much work as sound slots. */
+export const OVERLOAD: loadPattern.LoadPattern = {
+  ...QUIET,
+  services: [{ name: 's1', instances: 14, slots: 4 }, { name: 's2', instances: 6, slots: 4 }],
+  routes: QUIET.routes.map((route) => ({ ...route, perSecond: route.perSecond * 2 })),
+};
+
+/** Instances with two slots, short objectives and a burst. */
+export const BURST: loadPattern.LoadPattern = {
+  lengthMs: 30_000,
+  vmsPerPlace: 2,
+  services: [{ name: 's1', instances: 30, slots: 2 }, { name: 's2', instances: 6, slots: 2 }],
+  routes: [
+    {
+      name: 'lookup', service: 's1', kind: 'idempotent', perSecond: 40, workMs: 120, objectiveMs: 500, deadlineMs: 1_000, rank: 2,
+    },
+    {
+      name: 'reservation', service: 's1', kind: 'non-idempotent', perSecond: 108, workMs: 160, objectiveMs: 500, deadlineMs: 1_200, rank: 1,
+    },
+    {
+      name: 'dispatch', service: 's2', kind: 'non-idempotent', perSecond: 42, workMs: 84, objectiveMs: 300, deadlineMs: 600, rank: 0,
+    },
+  ],
+  gray: GRAY,
+  burst: { fromMs: 12_000, toMs: 17_000, factor: 1.7 },
+};
+
+/** Four in ten instances work twelve times as long for nine seconds. */
+export const SLOW: loadPattern.LoadPattern = {
+  ...QUIET,
+  slow: {
+    share: 0.4, factor: 12, fromMs: 10_000, toMs: 19_000,
+  },
+};
