Split the request task, and keep the platform's stand-in with the adapter

Cause: RoutedRequestTask had grown to 477 lines, and the stand-in of the store spoke the platform's names outside platform/. Change: routes, services and log lines of requests are objects of their own (RoutePlan, ServiceDesks, RequestLog); the stand-in moves to platform/test. No behaviour changes.

--- a/packages/front/src/metrics/ProcessMetrics.ts
+++ b/packages/front/src/metrics/ProcessMetrics.ts
@@ -44,7 +44,7 @@
     this.addGauge('instances', 'Published instances', () => sources.catalog.describe().instances);
     this.addGauge('known_vms', 'Other VMs that were lately heard', () => sources.membership.countVms());
     this.addGauge('open_requests', 'Requests in progress', () => sources.requests.countRequests());
-    this.addGauge('waiting_requests', 'Requests that wait for an instance', () => sources.requests.listDesks().reduce((sum, [, desk]) => sum + desk.queue.countWaiting(), 0));
+    this.addGauge('waiting_requests', 'Requests that wait for an instance', () => sources.requests.countWaiting());
     this.addGauge('upstream_connections', 'Open connections to instances', sources.countConnections);
   }
 
--- a/packages/front/test/vms/OperationsPage.test.ts
+++ b/packages/front/test/vms/OperationsPage.test.ts
@@ -4,7 +4,7 @@
 
 const ROOT = path.resolve(import.meta.dirname, '../../../..');
 const SOURCES = ['packages/gateway/src', 'packages/front/src', 'platform/src'];
-const EVENT_CALL = /(?:\blog\(|onEvent\(|log\.write\(|\brecord\(|event: )\s*(?:[a-zA-Z=' ]+\? )?'([a-z]+(?:-[a-z]+)+)'(?: : '([a-z]+(?:-[a-z]+)+)')?/g;
+const EVENT_CALL = /(?:\blog\(|logRequest\(|onEvent\(|log\.write\(|\brecord\(|event: )\s*(?:[a-zA-Z=' ]+\? )?'([a-z]+(?:-[a-z]+)+)'(?: : '([a-z]+(?:-[a-z]+)+)')?/g;
 
 function listSourceFiles(folder: string): string[] {
   return fs.readdirSync(path.join(ROOT, folder), { withFileTypes: true, recursive: true })
--- /dev/null
+++ b/packages/gateway/src/callers/RequestLog.ts
@@ -0,0 +1,79 @@
+import type * as core from '@tamarackferry/core';
+
+import type * as attemptEnding from '../upstreams/AttemptEnding.js';
+import type * as gatewayOutput from './GatewayOutput.js';
+import type * as requestArrival from './RequestArrival.js';
+import type * as routedRequest from './RoutedRequest.js';
+
+/** Writes the log lines of requests, each with the inputs of the decision. */
+export class RequestLog {
+  /**
+   * @param outbox - Gets the lines.
+   * @param timers - Timer service of the VM.
+   */
+  constructor(
+    private readonly outbox: core.tasks.Mailbox<gatewayOutput.GatewayOutput>,
+    private readonly timers: core.time.TimerService,
+  ) {}
+
+  /**
+   * Logs what became of a request.
+   * @param event - Name of the event.
+   * @param request - Request.
+   * @param fields - Inputs and outcome.
+   */
+  logRequest(event: string, request: routedRequest.RoutedRequest, fields: gatewayOutput.LogFields): void {
+    const { arrival, route, service } = request.options;
+    this.outbox.post({
+      type: 'log',
+      event,
+      fields: {
+        id: arrival.callerRequestId,
+        route: route.name,
+        service,
+        elapsedMs: Math.round(this.timers.getNowMs() - arrival.arrivedAtMs),
+        ...fields,
+      },
+    });
+  }
+
+  /**
+   * Logs an attempt that brought no good answer.
+   * @param request - Request.
+   * @param attempt - Attempt that ended.
+   * @param ending - How it ended.
+   */
+  logAttempt(
+    request: routedRequest.RoutedRequest,
+    attempt: routedRequest.RoutedAttempt,
+    ending: attemptEnding.AttemptEnding,
+  ): void {
+    if (ending.type === 'answered' && ending.answer.status < 500) return;
+    const nowMs = this.timers.getNowMs();
+    const { instance } = attempt;
+    this.logRequest('attempt-failed', request, {
+      instance: instance.getRecord().id,
+      place: instance.getRecord().place,
+      failure: Number(instance.estimateFailure(nowMs).toFixed(3)),
+      inFlight: instance.countInFlight(),
+      ending: ending.type,
+      status: ending.type === 'answered' ? ending.answer.status : undefined,
+      ageMs: Math.round(nowMs - attempt.sentAtMs),
+    });
+  }
+
+  /**
+   * Logs a request that could not be routed.
+   * @param arrival - Request as it arrived.
+   * @param reason - Why it was refused.
+   */
+  logUnrouted(arrival: requestArrival.RequestArrival, reason: requestArrival.RefusalReason): void {
+    this.outbox.post({
+      type: 'log',
+      event: 'request-refused',
+      fields: {
+        id: arrival.callerRequestId, reason, host: arrival.host, path: arrival.path,
+      },
+    });
+  }
+}
--- a/packages/gateway/src/callers/RoutedRequestTask.ts
+++ b/packages/gateway/src/callers/RoutedRequestTask.ts
@@ -1,21 +1,19 @@
 import * as core from '@tamarackferry/core';
 
 import type * as configuration from '../contracts/Configuration.js';
-import * as routeTable from '../contracts/RouteTable.js';
-import * as trafficSplit from '../contracts/TrafficSplit.js';
+import * as routePlan from '../contracts/RoutePlan.js';
 import type * as attemptEnding from '../upstreams/AttemptEnding.js';
-import * as durationSamples from '../upstreams/DurationSamples.js';
-import type * as evidenceRow from '../upstreams/EvidenceRow.js';
 import * as evidenceSharing from '../upstreams/EvidenceSharing.js';
 import type * as instanceRecord from '../upstreams/InstanceRecord.js';
-import type * as pooledInstance from '../upstreams/PooledInstance.js';
 import * as admissionRule from './AdmissionRule.js';
 import type * as gatewayOutput from './GatewayOutput.js';
 import type * as repeatBudget from './RepeatBudget.js';
 import type * as requestArrival from './RequestArrival.js';
+import * as requestLog from './RequestLog.js';
 import * as routedRequest from './RoutedRequest.js';
 import type * as routedRequestMessage from './RoutedRequestMessage.js';
-import * as serviceDesk from './ServiceDesk.js';
+import type * as serviceDesk from './ServiceDesk.js';
+import * as serviceDesks from './ServiceDesks.js';
 
 // Requests that wait are looked at this often, so that one that can no longer be served is refused.
 const QUEUE_CHECK_MS = 40;
@@ -60,13 +58,11 @@
 
   private readonly attempts = new Map<string, routedRequest.RoutedRequest>();
 
-  private readonly desks = new Map<string, serviceDesk.ServiceDesk>();
+  private readonly desks: serviceDesks.ServiceDesks;
 
-  private readonly durations = new Map<string, durationSamples.DurationSamples>();
+  private readonly routes: routePlan.RoutePlan;
 
-  private splits = new Map<string, trafficSplit.TrafficSplit>();
-
-  private routes: routeTable.RouteTable | undefined;
+  private readonly requestLog: requestLog.RequestLog;
 
   private catalogState: 'current' | 'stale' = 'stale';
 
@@ -83,6 +79,9 @@
   /** @param options - Surroundings of the task. */
   constructor(private readonly options: RoutedRequestTaskOptions) {
     super(options.scheduler);
+    this.desks = new serviceDesks.ServiceDesks(options);
+    this.routes = new routePlan.RoutePlan(options.random);
+    this.requestLog = new requestLog.RequestLog(options.outbox, options.timers);
   }
 
   /** Counts the requests in progress. */
@@ -90,9 +89,9 @@
     return this.requests.size;
   }
 
-  /** Lists the services with what the VM keeps for each. */
-  listDesks(): readonly (readonly [string, serviceDesk.ServiceDesk])[] {
-    return [...this.desks];
+  /** Counts the requests that wait for an instance. */
+  countWaiting(): number {
+    return this.desks.listDesks().reduce((sum, desk) => sum + desk.queue.countWaiting(), 0);
   }
 
   /** @internal */
@@ -123,7 +122,7 @@
         this.handleHedge(message.requestId);
         break;
       case 'peer-evidence':
-        this.applyEvidence(message.from, message.rows);
+        this.desks.applyEvidence(message.from, message.rows, this.options.timers.getNowMs());
         break;
       case 'sharing-due':
         this.sharingTimer = undefined;
@@ -131,20 +130,20 @@
         break;
       case 'queue-check':
         this.queueTimer = undefined;
-        this.desks.forEach((desk) => this.serveQueue(desk));
+        this.serveQueues();
         break;
       // no default
     }
   }
 
   private beginRequest(arrival: requestArrival.RequestArrival): void {
-    const found = this.routes?.getRoute(arrival.host, arrival.path);
+    const found = this.routes.getRoute(arrival.host, arrival.path);
     if (found === undefined) {
       // A route that this VM has not heard of may exist while its configuration is not known to be current.
-      this.refuseArrival(arrival, this.routes === undefined || this.catalogState === 'stale' ? 'no-configuration' : 'no-route');
+      this.refuseArrival(arrival, this.routes.isKnown() && this.catalogState === 'current' ? 'no-route' : 'no-configuration');
       return;
     }
-    const service = this.getSplit(found.name, found.targets).chooseService();
+    const service = this.routes.chooseService(found);
     const nowMs = this.options.timers.getNowMs();
     if (service === undefined) {
       this.refuseArrival(arrival, 'no-instance');
@@ -155,10 +154,10 @@
       arrival,
       route: found,
       service,
-      durations: this.getDurations(found.name, found.objectiveMs),
+      durations: this.routes.getDurations(found),
       deadlineAtMs: arrival.arrivedAtMs + waitMs,
     });
-    const desk = this.getDesk(service);
+    const desk = this.desks.getDesk(service);
     desk.budget.addRequest(nowMs);
     this.requests.set(arrival.requestId, request);
     this.subscribe(request, 'deadline-reached', Math.max(0, request.computeLeftMs(nowMs)));
@@ -234,10 +233,10 @@
     this.attempts.delete(attemptId);
     attempt.state = ending.type === 'unsent' ? 'unsent' : 'ended';
     attempt.instance.end(attemptId, ending, this.options.timers.getNowMs());
-    this.getDesk(request.options.service).drain.record(this.options.timers.getNowMs());
-    this.logAttempt(request, attempt, ending);
+    this.desks.getDesk(request.options.service).drain.record(this.options.timers.getNowMs());
+    this.requestLog.logAttempt(request, attempt, ending);
     if (request.state !== 'ended') this.settleRequest(request, ending);
-    this.serveQueue(this.getDesk(request.options.service));
+    this.serveQueue(this.desks.getDesk(request.options.service));
   }
 
   private settleRequest(request: routedRequest.RoutedRequest, ending: attemptEnding.AttemptEnding): void {
@@ -270,7 +269,7 @@
   private resumeRequest(request: routedRequest.RoutedRequest): boolean {
     if (request.countSent() > 0) return this.retryRequest(request);
     if (request.attempts.length >= MAX_TRIES) return false;
-    const desk = this.getDesk(request.options.service);
+    const desk = this.desks.getDesk(request.options.service);
     if (!this.sendAttempt(request, desk)) this.enqueueRequest(request, desk);
     return true;
   }
@@ -281,7 +280,7 @@
     const nowMs = this.options.timers.getNowMs();
     if (request.countSent() >= route.maxAttempts || request.attempts.length >= MAX_TRIES) return false;
     if (request.computeLeftMs(nowMs) < durations.estimateQuantile(REPEAT_TIME_QUANTILE)) return false;
-    const desk = this.getDesk(service);
+    const desk = this.desks.getDesk(service);
     return desk.pool.chooseInstance(route.kind, request.listTried(), nowMs) !== undefined
       && desk.budget.take(nowMs)
       && this.sendAttempt(request, desk);
@@ -298,18 +297,18 @@
   private handleCallerGone(requestId: string): void {
     const request = this.requests.get(requestId);
     if (request === undefined) return;
-    this.log('request-abandoned', request, { attempts: request.attempts.length });
+    this.requestLog.logRequest('request-abandoned', request, { attempts: request.attempts.length });
     this.endRequest(request);
   }
 
   private answer(request: routedRequest.RoutedRequest, answer: attemptEnding.InstanceAnswer): void {
     this.options.outbox.post({ type: 'answer', requestId: request.options.arrival.requestId, answer });
-    this.log('request-answered', request, { status: answer.status, attempts: request.attempts.length });
+    this.requestLog.logRequest('request-answered', request, { status: answer.status, attempts: request.attempts.length });
     this.endRequest(request);
   }
 
   private refuse(request: routedRequest.RoutedRequest, reason: requestArrival.RefusalReason): void {
-    const desk = this.getDesk(request.options.service);
+    const desk = this.desks.getDesk(request.options.service);
     const load = this.buildLoad(request, desk);
     this.options.outbox.post({
       type: 'refuse',
@@ -317,7 +316,7 @@
       reason,
       retryAfterMs: this.admission.computeRetryAfterMs(load, this.options.random.drawFraction()),
     });
-    this.log('request-refused', request, {
+    this.requestLog.logRequest('request-refused', request, {
       reason, attempts: request.attempts.length, waiting: load.ahead, slots: load.slots, serviceMs: Math.round(load.serviceMs),
     });
     this.endRequest(request);
@@ -327,17 +326,11 @@
     this.options.outbox.post({
       type: 'refuse', requestId: arrival.requestId, reason, retryAfterMs: reason === 'no-route' ? undefined : 500 + 500 * this.options.random.drawFraction(),
     });
-    this.options.outbox.post({
-      type: 'log',
-      event: 'request-refused',
-      fields: {
-        id: arrival.callerRequestId, reason, host: arrival.host, path: arrival.path,
-      },
-    });
+    this.requestLog.logUnrouted(arrival, reason);
   }
 
   private endRequest(request: routedRequest.RoutedRequest): void {
-    if (request.state === 'waiting') this.getDesk(request.options.service).queue.remove(request);
+    if (request.state === 'waiting') this.desks.getDesk(request.options.service).queue.remove(request);
     request.state = 'ended';
     request.cancelTimers();
     this.requests.delete(request.options.arrival.requestId);
@@ -347,72 +340,29 @@
   }
 
   private applyConfiguration(applied: configuration.Configuration): void {
-    this.routes = new routeTable.RouteTable(applied.routes);
-    this.splits = new Map();
-    applied.services.forEach((service) => {
-      this.getDesk(service.name).maxConnections = service.maxConnections;
-    });
+    this.routes.applyConfiguration(applied);
+    this.desks.applyConfiguration(applied);
     this.options.outbox.post({ type: 'limits-changed', limits: applied.limits });
   }
 
   private applyInstances(records: readonly instanceRecord.InstanceRecord[]): void {
-    const nowMs = this.options.timers.getNowMs();
-    const byService = new Map<string, instanceRecord.InstanceRecord[]>();
-    records.forEach((record) => {
-      const listed = byService.get(record.service);
-      if (listed === undefined) byService.set(record.service, [record]);
-      else listed.push(record);
-    });
-    byService.forEach((_, service) => this.getDesk(service));
-    this.desks.forEach((desk, service) => {
-      desk.pool.setInstances(byService.get(service) ?? [], nowMs);
-      this.serveQueue(desk);
-    });
+    this.desks.applyInstances(records, this.options.timers.getNowMs());
+    this.serveQueues();
   }
 
-  private applyEvidence(from: string, rows: readonly evidenceRow.EvidenceRow[]): void {
-    const nowMs = this.options.timers.getNowMs();
-    rows.forEach((row) => this.desks.get(row.service)?.pool.getInstance(row.instance)?.recordPeer(from, row.deviation, nowMs));
+  private serveQueues(): void {
+    this.desks.listDesks().forEach((desk) => this.serveQueue(desk));
   }
 
   private announceEvidence(): void {
     const nowMs = this.options.timers.getNowMs();
-    const rows = [...this.desks].flatMap(([service, desk]) => desk.pool.listInstances().map((instance) => ({
-      instance: instance.getRecord().id, service, deviation: Number(instance.computeDeviation(nowMs).toFixed(2)),
-    })));
-    const selected = this.sharing.selectRows(rows, nowMs);
+    const selected = this.sharing.selectRows(this.desks.listEvidence(nowMs), nowMs);
     if (selected.length > 0) this.options.outbox.post({ type: 'evidence-found', rows: selected });
     if (this.attempts.size > 0) {
       this.sharingTimer = this.options.timers.subscribe({ mailbox: this, message: { type: 'sharing-due' as const }, delayMs: SHARING_MS });
     }
   }
 
-  private getDesk(service: string): serviceDesk.ServiceDesk {
-    const known = this.desks.get(service);
-    if (known !== undefined) return known;
-    const { place, random, budget } = this.options;
-    const opened = new serviceDesk.ServiceDesk({ pool: { service, place, random }, budget });
-    this.desks.set(service, opened);
-    return opened;
-  }
-
-  private getSplit(routeName: string, targets: routedRequest.RoutedRequestOptions['route']['targets']): trafficSplit.TrafficSplit {
-    const known = this.splits.get(routeName);
-    if (known !== undefined) return known;
-    const opened = new trafficSplit.TrafficSplit(targets);
-    opened.advance(this.options.random.drawFraction());
-    this.splits.set(routeName, opened);
-    return opened;
-  }
-
-  private getDurations(routeName: string, objectiveMs: number): durationSamples.DurationSamples {
-    const known = this.durations.get(routeName);
-    if (known !== undefined) return known;
-    const opened = new durationSamples.DurationSamples(objectiveMs);
-    this.durations.set(routeName, opened);
-    return opened;
-  }
-
   private buildLoad(request: routedRequest.RoutedRequest, desk: serviceDesk.ServiceDesk): admissionRule.ServiceLoad {
     return {
       slots: desk.pool.countSlots(),
@@ -436,42 +386,4 @@
   private startQueueTimer(): void {
     this.queueTimer ??= this.options.timers.subscribe({ mailbox: this, message: { type: 'queue-check' as const }, delayMs: QUEUE_CHECK_MS });
   }
-
-  private logAttempt(
-    request: routedRequest.RoutedRequest,
-    attempt: routedRequest.RoutedAttempt,
-    ending: attemptEnding.AttemptEnding,
-  ): void {
-    if (ending.type === 'answered' && ending.answer.status < 500) return;
-    this.log('attempt-failed', request, {
-      ...RoutedRequestTask.describeInstance(attempt.instance, this.options.timers.getNowMs()),
-      ending: ending.type,
-      status: ending.type === 'answered' ? ending.answer.status : undefined,
-      ageMs: Math.round(this.options.timers.getNowMs() - attempt.sentAtMs),
-    });
-  }
-
-  private log(event: string, request: routedRequest.RoutedRequest, fields: gatewayOutput.LogFields): void {
-    const { arrival, route, service } = request.options;
-    this.options.outbox.post({
-      type: 'log',
-      event,
-      fields: {
-        id: arrival.callerRequestId,
-        route: route.name,
-        service,
-        elapsedMs: Math.round(this.options.timers.getNowMs() - arrival.arrivedAtMs),
-        ...fields,
-      },
-    });
-  }
-
-  private static describeInstance(instance: pooledInstance.PooledInstance, nowMs: number): gatewayOutput.LogFields {
-    return {
-      instance: instance.getRecord().id,
-      place: instance.getRecord().place,
-      failure: Number(instance.estimateFailure(nowMs).toFixed(3)),
-      inFlight: instance.countInFlight(),
-    };
-  }
 }
--- /dev/null
+++ b/packages/gateway/src/callers/ServiceDesks.ts
@@ -0,0 +1,88 @@
+import type * as core from '@tamarackferry/core';
+
+import type * as configuration from '../contracts/Configuration.js';
+import type * as evidenceRow from '../upstreams/EvidenceRow.js';
+import type * as instanceRecord from '../upstreams/InstanceRecord.js';
+import type * as repeatBudget from './RepeatBudget.js';
+import * as serviceDesk from './ServiceDesk.js';
+
+/** Options of `ServiceDesks`. */
+export interface ServiceDesksOptions {
+  /** Place of the VM. */
+  readonly place: string;
+  readonly random: core.randomness.RandomSource;
+  /** Share of this VM in the repeats of each service. */
+  readonly budget: repeatBudget.RepeatBudgetOptions;
+}
+
+/** What a VM keeps for each service. */
+export class ServiceDesks {
+  private readonly desks = new Map<string, serviceDesk.ServiceDesk>();
+
+  /** @param options - Place and bounds. */
+  constructor(private readonly options: ServiceDesksOptions) {}
+
+  /**
+   * Gets what is kept for a service.
+   * @param service - Name of the service.
+   */
+  getDesk(service: string): serviceDesk.ServiceDesk {
+    const known = this.desks.get(service);
+    if (known !== undefined) return known;
+    const { place, random, budget } = this.options;
+    const opened = new serviceDesk.ServiceDesk({ pool: { service, place, random }, budget });
+    this.desks.set(service, opened);
+    return opened;
+  }
+
+  /** Lists what is kept for all services. */
+  listDesks(): readonly serviceDesk.ServiceDesk[] {
+    return [...this.desks.values()];
+  }
+
+  /**
+   * Takes the services of a newer configuration.
+   * @param applied - Configuration.
+   */
+  applyConfiguration(applied: configuration.Configuration): void {
+    applied.services.forEach((service) => {
+      this.getDesk(service.name).maxConnections = service.maxConnections;
+    });
+  }
+
+  /**
+   * Takes the instances to use, of all services.
+   * @param records - Entries of the instances.
+   * @param nowMs - Present time.
+   */
+  applyInstances(records: readonly instanceRecord.InstanceRecord[], nowMs: number): void {
+    const byService = new Map<string, instanceRecord.InstanceRecord[]>();
+    records.forEach((record) => {
+      const listed = byService.get(record.service);
+      if (listed === undefined) byService.set(record.service, [record]);
+      else listed.push(record);
+    });
+    byService.forEach((_, service) => this.getDesk(service));
+    this.desks.forEach((desk, service) => desk.pool.setInstances(byService.get(service) ?? [], nowMs));
+  }
+
+  /**
+   * Takes what another VM believes.
+   * @param from - Name of the VM.
+   * @param rows - Its beliefs.
+   * @param nowMs - Present time.
+   */
+  applyEvidence(from: string, rows: readonly evidenceRow.EvidenceRow[], nowMs: number): void {
+    rows.forEach((row) => this.desks.get(row.service)?.pool.getInstance(row.instance)?.recordPeer(from, row.deviation, nowMs));
+  }
+
+  /**
+   * Lists what this VM believes of all instances, from its own requests.
+   * @param nowMs - Present time.
+   */
+  listEvidence(nowMs: number): evidenceRow.EvidenceRow[] {
+    return [...this.desks].flatMap(([service, desk]) => desk.pool.listInstances().map((instance) => ({
+      instance: instance.getRecord().id, service, deviation: Number(instance.computeDeviation(nowMs).toFixed(2)),
+    })));
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/contracts/RoutePlan.ts
@@ -0,0 +1,69 @@
+import type * as core from '@tamarackferry/core';
+
+import * as durationSamples from '../upstreams/DurationSamples.js';
+import type * as configuration from './Configuration.js';
+import type * as route from './Route.js';
+import * as routeTable from './RouteTable.js';
+import * as trafficSplit from './TrafficSplit.js';
+
+/** Routes in force, with what a VM keeps for each of them. */
+export class RoutePlan {
+  private table: routeTable.RouteTable | undefined;
+
+  private splits = new Map<string, trafficSplit.TrafficSplit>();
+
+  // Durations are kept when a configuration changes: the work behind a route mostly stays the same.
+  private readonly durations = new Map<string, durationSamples.DurationSamples>();
+
+  /** @param random - Sets where in its cycle each split begins. */
+  constructor(private readonly random: core.randomness.RandomSource) {}
+
+  /** Whether a configuration is known. */
+  isKnown(): boolean {
+    return this.table !== undefined;
+  }
+
+  /**
+   * Takes the routes of a newer configuration.
+   * @param applied - Configuration.
+   */
+  applyConfiguration(applied: configuration.Configuration): void {
+    this.table = new routeTable.RouteTable(applied.routes);
+    this.splits = new Map();
+  }
+
+  /**
+   * Gets the route of a request, or undefined if none matches.
+   * @param host - Value of the host header.
+   * @param path - Path of the request.
+   */
+  getRoute(host: string, path: string): route.Route | undefined {
+    return this.table?.getRoute(host, path);
+  }
+
+  /**
+   * Chooses the service of the next request of a route by weight.
+   * @param chosen - Route of the request.
+   */
+  chooseService(chosen: route.Route): string | undefined {
+    const known = this.splits.get(chosen.name);
+    if (known !== undefined) return known.chooseService();
+    const opened = new trafficSplit.TrafficSplit(chosen.targets);
+    // VMs that start together would otherwise all send their first requests to the same target.
+    opened.advance(this.random.drawFraction());
+    this.splits.set(chosen.name, opened);
+    return opened.chooseService();
+  }
+
+  /**
+   * Gets the durations of the answers of a route.
+   * @param measured - Route.
+   */
+  getDurations(measured: route.Route): durationSamples.DurationSamples {
+    const known = this.durations.get(measured.name);
+    if (known !== undefined) return known;
+    const opened = new durationSamples.DurationSamples(measured.objectiveMs);
+    this.durations.set(measured.name, opened);
+    return opened;
+  }
+}
--- a/packages/gateway/src/contracts/TrafficSplit.ts
+++ b/packages/gateway/src/contracts/TrafficSplit.ts
@@ -14,7 +14,6 @@
   /** @param targets - Targets of the route. */
   constructor(targets: readonly route.RouteTarget[]) {
     this.totalWeight = targets.reduce((sum, target) => sum + target.weight, 0);
-    // VMs that start together would otherwise all send their first requests to the same target.
     this.parts = targets.map((target) => ({ target, credit: 0 }));
   }
 
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,4 +1,3 @@
 export * as demo from './demo/index.js';
 export * as platform from './platform/index.js';
 export * as upstreams from './upstreams/index.js';
-export * as store from './store/index.js';
--- a/packages/standins/src/store/index.ts
+++ /dev/null
@@ -1,2 +0,0 @@
-export type * from './StoreMode.js';
-export * from './StoreStandin.js';
