Give an instance that joined its first request within four seconds

Ruled out: news that did not arrive, since the VM listed the instance. It had passed before with an instance whose estimate was still near that of the new one. Change: the time since an instance was last used or published lowers its cost, by less than a doubt or another place costs. A test under virtual time fails without it.

--- a/packages/gateway/src/upstreams/PooledInstance.ts
+++ b/packages/gateway/src/upstreams/PooledInstance.ts
@@ -21,7 +21,7 @@
 
   private reportedAtMs = -Infinity;
 
-  private usedAtMs = -Infinity;
+  private usedAtMs: number;
 
   private warmAtMs: number;
 
@@ -32,6 +32,7 @@
   constructor(private record: instanceRecord.InstanceRecord, nowMs: number) {
     this.warmAtMs = nowMs + record.warmupMs;
     this.gray = new grayEstimate.GrayEstimate(nowMs);
+    this.usedAtMs = nowMs;
   }
 
   /** Gets what the instance published. */
@@ -144,7 +145,7 @@
   }
 
   /**
-   * Computes the time since this VM last sent it a request, in milliseconds.
+   * Computes the time since this VM last sent it a request or learned of it, in milliseconds.
    * @param nowMs - Present time.
    */
   computeIdleMs(nowMs: number): number {
--- a/packages/gateway/test/upstreams/ServicePool.test.ts
+++ b/packages/gateway/test/upstreams/ServicePool.test.ts
@@ -91,10 +91,25 @@
   vitest.it('tries an instance that was not used for a while with requests that may be repeated', () => {
     const pool = buildPool([testRoute.buildInstance('i1', { slots: 20 }), testRoute.buildInstance('i2', { slots: 20 })]);
     const used = pool.chooseInstance('non-idempotent', [], 0)!;
-    used.begin('a', 0, buildDurations());
-    used.end('a', testGateway.TestGateway.buildAnswer(200), 100);
-    vitest.expect(pool.chooseInstance('non-idempotent', [], 100)).toBe(used);
-    vitest.expect(pool.chooseInstance('idempotent', [], 100)).not.toBe(used);
+    used.begin('a', 1_500, buildDurations());
+    used.end('a', testGateway.TestGateway.buildAnswer(200), 1_800);
+    vitest.expect(pool.chooseInstance('non-idempotent', [], 2_000)).toBe(used);
+    vitest.expect(pool.chooseInstance('idempotent', [], 2_000)).not.toBe(used);
+  });
+
+  vitest.it('uses an instance that joined within four seconds, also when no request may be repeated', () => {
+    const pool = buildPool([testRoute.buildInstance('i1', { slots: 20 })]);
+    const durations = buildDurations();
+    const serveUntil = (fromMs: number, toMs: number): boolean => Array.from({ length: (toMs - fromMs) / 250 }, (_, index) => {
+      const nowMs = fromMs + index * 250;
+      const chosen = pool.chooseInstance('non-idempotent', [], nowMs)!;
+      chosen.begin(`x${nowMs}`, nowMs, durations);
+      chosen.end(`x${nowMs}`, testGateway.TestGateway.buildAnswer(200), nowMs + 220);
+      return chosen.getRecord().id;
+    }).includes('i2');
+    serveUntil(0, 5_000);
+    pool.setInstances([testRoute.buildInstance('i1', { slots: 20 }), testRoute.buildInstance('i2', { slots: 20 })], 5_000);
+    vitest.expect(serveUntil(5_000, 9_000)).toBe(true);
   });
 
   vitest.it('judges a restarted process anew, though it has the id of the one before', () => {
