Tell a reset that comes together with data from the end of an answer without a length

When data and a reset arrive together, the event loop reports an orderly end and no error follows; a test with an immediate reset shows it. Ruled out: the earlier case of a reset that is reported as an error, which has its own test. Change: at the end of a socket its peer address is asked for; after a reset there is none.

--- a/packages/entry/src/upstreams/UpstreamConnection.ts
+++ b/packages/entry/src/upstreams/UpstreamConnection.ts
@@ -75,5 +75,9 @@
     socket.on('error', () => {
       this.socketState = 'failed';
     });
+    // A reset that comes together with data is reported as an orderly end; only the lost peer address shows it.
+    socket.on('end', () => {
+      if (socket.remoteAddress === undefined) this.socketState = 'failed';
+    });
   }
 }
--- a/packages/front/test/upstreams/RoutedConnections.test.ts
+++ b/packages/front/test/upstreams/RoutedConnections.test.ts
@@ -84,6 +84,13 @@
     vitest.expect(await tested.sendAttempt(port, 'q1')).toEqual({ type: 'broken' });
   });
 
+  vitest.it('does not take a reset that comes together with data for the end of an answer without a length', async () => {
+    const port = await startInstance((socket, id) => {
+      socket.write(`HTTP/1.1 200 OK\r\nrequest-id: ${id}\r\nproof: 1\r\n\r\npart of the bo`, () => socket.resetAndDestroy());
+    });
+    vitest.expect(await tested.sendAttempt(port, 'q1')).toEqual({ type: 'broken' });
+  });
+
   vitest.it('takes an orderly close for the end of an answer without a length', async () => {
     const port = await startInstance((socket, id) => socket.end(`HTTP/1.1 200 OK\r\nrequest-id: ${id}\r\nproof: 1\r\n\r\nall`));
     vitest.expect(await tested.sendAttempt(port, 'q1')).toMatchObject({ type: 'answered' });
