Hold requests until a starting VM knows its routes

Ruled out: listening only once the configuration is known, since callers that cannot connect wait for a second and probes of readiness need an answer.

Change: a request that arrives before the first configuration waits for it, for 600 ms or 0.3 of its deadline at most and 512 requests at most; it is dropped when its caller leaves. A starting VM gives its peers 80 ms instead of 300 before it reads the store.

--- a/packages/front/src/vms/FrontProcess.ts
+++ b/packages/front/src/vms/FrontProcess.ts
@@ -29,7 +29,7 @@
 const DRAIN_CHECK_MS = 50;
 
 // The budget of repeats is shared without messages between VMs, whose counts overlap only in part.
-const REPEAT_SHARE = 0.8;
+const REPEAT_SHARE = 0.9;
 
 /** Reason why a process does not start. */
 export interface StartFailure {
--- a/packages/gateway/src/callers/RequestLog.ts
+++ b/packages/gateway/src/callers/RequestLog.ts
@@ -63,16 +63,21 @@
   }
 
   /**
-   * Logs a request that could not be routed.
+   * Logs what became of a request that was not routed.
+   * @param event - Name of the event.
    * @param arrival - Request as it arrived.
-   * @param reason - Why it was refused.
+   * @param reason - Why it was not routed.
    */
-  logUnrouted(arrival: requestArrival.RequestArrival, reason: requestArrival.RefusalReason): void {
+  logUnrouted(event: 'request-refused' | 'request-abandoned', arrival: requestArrival.RequestArrival, reason: requestArrival.RefusalReason): void {
     this.outbox.post({
       type: 'log',
-      event: 'request-refused',
+      event,
       fields: {
-        id: arrival.callerRequestId, reason, host: arrival.host, path: arrival.path,
+        id: arrival.callerRequestId,
+        reason,
+        elapsedMs: Math.round(this.timers.getNowMs() - arrival.arrivedAtMs),
+        host: arrival.host,
+        path: arrival.path,
       },
     });
   }
--- a/packages/gateway/src/callers/RoutedRequestMessage.ts
+++ b/packages/gateway/src/callers/RoutedRequestMessage.ts
@@ -15,6 +15,8 @@
   | { readonly type: 'catalog-state'; readonly state: 'current' | 'stale' }
   | { readonly type: 'deadline-reached'; readonly requestId: string }
   | { readonly type: 'hedge-due'; readonly requestId: string }
+  // The time for which a request may wait for the first configuration is over.
+  | { readonly type: 'hold-over'; readonly requestId: string }
   | { readonly type: 'peer-evidence'; readonly from: string; readonly rows: readonly evidenceRow.EvidenceRow[] }
   | { readonly type: 'sharing-due' }
   | { readonly type: 'queue-check' };
--- a/packages/gateway/src/callers/RoutedRequestTask.ts
+++ b/packages/gateway/src/callers/RoutedRequestTask.ts
@@ -6,6 +6,7 @@
 import * as evidenceSharing from '../upstreams/EvidenceSharing.js';
 import type * as instanceRecord from '../upstreams/InstanceRecord.js';
 import * as admissionRule from './AdmissionRule.js';
+import * as earlyArrivals from './EarlyArrivals.js';
 import type * as gatewayOutput from './GatewayOutput.js';
 import type * as repeatBudget from './RepeatBudget.js';
 import type * as requestArrival from './RequestArrival.js';
@@ -61,6 +62,8 @@
 export class RoutedRequestTask extends core.tasks.Task<routedRequestMessage.RoutedRequestMessage> {
   private readonly requests = new Map<string, routedRequest.RoutedRequest>();
 
+  private readonly early = new earlyArrivals.EarlyArrivals();
+
   private readonly attempts = new Map<string, routedRequest.RoutedRequest>();
 
   private readonly desks: serviceDesks.ServiceDesks;
@@ -91,7 +94,7 @@
 
   /** Counts the requests in progress. */
   countRequests(): number {
-    return this.requests.size;
+    return this.requests.size + this.early.count();
   }
 
   /** Counts the requests that wait for an instance. */
@@ -126,6 +129,9 @@
       case 'hedge-due':
         this.handleHedge(message.requestId);
         break;
+      case 'hold-over':
+        this.refuseEarly(message.requestId);
+        break;
       case 'peer-evidence':
         this.desks.applyEvidence(message.from, message.rows, this.options.timers.getNowMs());
         break;
@@ -142,6 +148,7 @@
   }
 
   private beginRequest(arrival: requestArrival.RequestArrival): void {
+    if (!this.routes.isKnown() && this.enqueueEarly(arrival) === 'held') return;
     const found = this.routes.getRoute(arrival.host, arrival.path);
     if (found === undefined) {
       // A route that this VM has not heard of may exist while its configuration is not known to be current.
@@ -170,6 +177,19 @@
     this.enqueueRequest(request, desk);
   }
 
+  // A VM that has just started will know its routes in a moment.
+  private enqueueEarly(arrival: requestArrival.RequestArrival): 'held' | 'full' {
+    const delayMs = this.early.add(arrival);
+    if (delayMs === undefined) return 'full';
+    this.options.timers.subscribe({ mailbox: this, message: { type: 'hold-over' as const, requestId: arrival.requestId }, delayMs });
+    return 'held';
+  }
+
+  private refuseEarly(requestId: string): void {
+    const arrival = this.early.take(requestId);
+    if (arrival !== undefined) this.refuseArrival(arrival, 'no-configuration');
+  }
+
   private enqueueRequest(request: routedRequest.RoutedRequest, desk: serviceDesk.ServiceDesk): void {
     if (this.decideWaiting(request, desk) === 'refuse') {
       this.refuse(request, desk.pool.countSlots() === 0 ? 'no-instance' : 'overloaded');
@@ -308,7 +328,11 @@
 
   private handleCallerGone(requestId: string): void {
     const request = this.requests.get(requestId);
-    if (request === undefined) return;
+    if (request === undefined) {
+      const arrival = this.early.take(requestId);
+      if (arrival !== undefined) this.requestLog.logUnrouted('request-abandoned', arrival, 'no-configuration');
+      return;
+    }
     this.requestLog.logRequest('request-abandoned', request, { attempts: request.attempts.length });
     this.endRequest(request);
   }
@@ -338,7 +362,7 @@
     this.options.outbox.post({
       type: 'refuse', requestId: arrival.requestId, reason, retryAfterMs: reason === 'no-route' ? undefined : 500 + 500 * this.options.random.drawFraction(),
     });
-    this.requestLog.logUnrouted(arrival, reason);
+    this.requestLog.logUnrouted('request-refused', arrival, reason);
   }
 
   private endRequest(request: routedRequest.RoutedRequest): void {
@@ -359,6 +383,8 @@
 
   private applyInstances(records: readonly instanceRecord.InstanceRecord[]): void {
     this.desks.applyInstances(records, this.options.timers.getNowMs());
+    // The first instances come right after the first configuration.
+    if (this.routes.isKnown()) this.early.takeAll().forEach((arrival) => this.beginRequest(arrival));
     this.serveQueues();
   }
 
--- a/packages/gateway/src/callers/index.ts
+++ b/packages/gateway/src/callers/index.ts
@@ -1,3 +1,4 @@
+export * from './EarlyArrivals.js';
 export * from './AdmissionRule.js';
 export * from './DrainRate.js';
 export type * from './GatewayOutput.js';
--- a/packages/gateway/src/contracts/CatalogTask.ts
+++ b/packages/gateway/src/contracts/CatalogTask.ts
@@ -18,8 +18,9 @@
 // A follower without confirmed news for this long reads the store itself.
 const FOLLOWER_PATIENCE_MS = 3_000;
 
-// Time that a starting VM gives its peers before it reads the store itself.
-const START_PATIENCE_MS = 300;
+// Time that a starting VM gives its peers before it reads the store itself: some round trips to the seeds in a region. Requests
+// wait for it when all VMs were killed together and no peer knows anything.
+const START_PATIENCE_MS = 80;
 
 // A confirmation older than this does not prove that a route is unknown.
 const CURRENT_SPAN_MS = 4_000;
--- a/packages/gateway/test/TestGateway.ts
+++ b/packages/gateway/test/TestGateway.ts
@@ -14,12 +14,12 @@
   private nextRequest = 0;
 
   /**
-   * @param routes - Routes in force.
+   * @param routes - Routes in force; undefined if none are known yet.
    * @param instances - Published instances.
    * @param slack - Repeats allowed on top of the share of requests.
    */
   constructor(
-    routes: readonly gateway.contracts.Route[],
+    routes: readonly gateway.contracts.Route[] | undefined,
     instances: readonly gateway.upstreams.InstanceRecord[],
     slack = 10,
   ) {
@@ -31,6 +31,15 @@
       place: 'p1',
       budget: { ratio: 0.2, slack, windowMs: 10_000 },
     });
+    if (routes !== undefined) this.applyRoutes(routes, instances);
+  }
+
+  /**
+   * Makes routes and instances known.
+   * @param routes - Routes in force.
+   * @param instances - Published instances.
+   */
+  applyRoutes(routes: readonly gateway.contracts.Route[], instances: readonly gateway.upstreams.InstanceRecord[]): void {
     this.task.post({ type: 'configuration-changed', configuration: testRoute.buildConfiguration(1, routes) });
     this.task.post({ type: 'instances-changed', records: instances });
     this.task.post({ type: 'catalog-state', state: 'current' });
--- a/packages/gateway/test/callers/RoutedRequestTask.test.ts
+++ b/packages/gateway/test/callers/RoutedRequestTask.test.ts
@@ -159,6 +159,44 @@
     vitest.expect(tested.findOutcome(tested.sendRequest())).toMatchObject({ type: 'refuse', reason: 'no-instance' });
   });
 
+  vitest.describe('before the first configuration', () => {
+    function buildStarting(): testGateway.TestGateway {
+      return new testGateway.TestGateway(undefined, INSTANCES);
+    }
+
+    vitest.it('serves a request that came before the routes were known', () => {
+      const tested = buildStarting();
+      const early = tested.sendRequest();
+      tested.timers.advanceTo(300);
+      vitest.expect(tested.findOutcome(early)).toBeUndefined();
+      tested.applyRoutes([UNSAFE], INSTANCES);
+      tested.endAttempt('1');
+      vitest.expect(tested.findOutcome(early)).toMatchObject({ type: 'answer' });
+    });
+
+    vitest.it('gives up in time for the caller to go elsewhere when the routes stay unknown', () => {
+      const tested = buildStarting();
+      const early = tested.sendRequest('/x/1', 1_000);
+      tested.timers.advanceTo(301);
+      vitest.expect(tested.findOutcome(early)).toMatchObject({ type: 'refuse', reason: 'no-configuration' });
+      tested.applyRoutes([UNSAFE], INSTANCES);
+      vitest.expect(tested.listAttempts()).toHaveLength(0);
+    });
+
+    vitest.it('sends nothing for a caller that left before the routes were known', () => {
+      const tested = buildStarting();
+      tested.task.post({ type: 'caller-gone', requestId: tested.sendRequest() });
+      tested.applyRoutes([UNSAFE], INSTANCES);
+      vitest.expect(tested.listAttempts()).toHaveLength(0);
+    });
+
+    vitest.it('holds a bounded number of requests', () => {
+      const tested = buildStarting();
+      const ids = Array.from({ length: 600 }, () => tested.sendRequest());
+      vitest.expect(ids.filter((id) => tested.findOutcome(id)?.type === 'refuse')).toHaveLength(600 - 512);
+    });
+  });
+
   vitest.it('says that there is no such route only while its configuration is known to be current', () => {
     const tested = new testGateway.TestGateway([UNSAFE], INSTANCES);
     vitest.expect(tested.findOutcome(tested.sendRequest('/other/1'))).toMatchObject({ reason: 'no-route' });
