--- a/packages/front/src/vms/FrontProcess.ts
+++ b/packages/front/src/vms/FrontProcess.ts
@@ -31,6 +31,11 @@
 // The budget of repeats is shared without messages between VMs, whose counts overlap only in part.
 const REPEAT_SHARE = 0.9;
 
+// Settings that a running process takes over; addresses and the identity of the VM are bound at its start.
+const APPLIED_FIELDS = [
+  'seedHosts', 'graceMs', 'maxValidityMs', 'repeatRatio', 'repeatSlack', 'repeatWindowMs', 'placeCount',
+] as const satisfies readonly (keyof frontSettings.FrontSettings)[];
+
 /** Reason why a process does not start. */
 export interface StartFailure {
   readonly type: 'port-unavailable';
@@ -80,7 +85,7 @@
    * @param settings - Settings of the process.
    * @param dialects - Adapter of the platform.
    */
-  constructor(private readonly settings: frontSettings.FrontSettings, private readonly dialects: frontDialects.FrontDialects) {
+  constructor(private settings: frontSettings.FrontSettings, private readonly dialects: frontDialects.FrontDialects) {
     const { timers, scheduler, random } = this;
     this.ended = new Promise((resolve) => {
       this.notifyEnded = resolve;
@@ -88,18 +93,13 @@
     this.log = new structuredLog.StructuredLog(timers, settings.name, new standardLogOutput.StandardLogOutput());
     const onEvent = (event: string, fields: gateway.callers.LogFields): void => this.record(event, fields);
     const outbox = { post: (output: DecisionOutput) => this.deliver(output) };
-    const frontCount = FRONTS_PER_PLACE * settings.placeCount;
     this.requests = new gateway.callers.RoutedRequestTask({
       scheduler,
       timers,
       random,
       outbox,
       place: settings.place,
-      budget: {
-        ratio: settings.repeatRatio * REPEAT_SHARE,
-        slack: (settings.repeatSlack * REPEAT_SHARE) / frontCount / 2,
-        windowMs: settings.repeatWindowMs,
-      },
+      budget: FrontProcess.computeBudget(settings),
     });
     this.catalog = new gateway.contracts.CatalogTask({
       scheduler, timers, random, outbox, requests: this.requests, membership: { post: (message) => this.membership.post(message) },
@@ -115,7 +115,7 @@
       },
       seedHosts: settings.seedHosts,
       frontsPerPlace: FRONTS_PER_PLACE,
-      validityMs: Math.min(VALIDITY_MS, settings.maxValidityMs),
+      validityMs: FrontProcess.computeValidityMs(settings),
     });
     this.connections = new upstreams.RoutedConnections({
       scheduler, timers, dialect: dialects.upstreams, requests: this.requests,
@@ -164,6 +164,21 @@
     return neverthrow.ok(undefined);
   }
 
+  /**
+   * Applies changed settings. Returns the fields that take effect at the next start only.
+   * @param settings - Settings as now read.
+   */
+  applySettings(settings: frontSettings.FrontSettings): string[] {
+    const before = this.settings;
+    this.settings = { ...before, ...Object.fromEntries(APPLIED_FIELDS.map((field) => [field, settings[field]])) };
+    this.membership.post({
+      type: 'settings-changed', seedHosts: this.settings.seedHosts, validityMs: FrontProcess.computeValidityMs(this.settings),
+    });
+    this.requests.post({ type: 'budget-changed', budget: FrontProcess.computeBudget(this.settings) });
+    const fields = Object.keys(settings) as (keyof frontSettings.FrontSettings)[];
+    return fields.filter((field) => JSON.stringify(settings[field]) !== JSON.stringify(this.settings[field]));
+  }
+
   /** Begins a graceful shutdown. */
   stop(): void {
     if (this.stopAtMs !== Infinity) return;
@@ -230,6 +245,20 @@
     this.log.write(event, fields);
   }
 
+  private static computeBudget(settings: frontSettings.FrontSettings): gateway.callers.RepeatBudgetOptions {
+    const frontCount = FRONTS_PER_PLACE * settings.placeCount;
+    return {
+      ratio: settings.repeatRatio * REPEAT_SHARE,
+      // Half of the slack is left for VMs that callers reach besides those of the directory.
+      slack: (settings.repeatSlack * REPEAT_SHARE) / frontCount / 2,
+      windowMs: settings.repeatWindowMs,
+    };
+  }
+
+  private static computeValidityMs(settings: frontSettings.FrontSettings): number {
+    return Math.min(VALIDITY_MS, settings.maxValidityMs);
+  }
+
   private static async listenOn(
     listener: string,
     socket: { readonly listen: () => Promise<neverthrow.Result<number, string>> },
--- a/packages/gateway/src/callers/RepeatBudget.ts
+++ b/packages/gateway/src/callers/RepeatBudget.ts
@@ -22,7 +22,15 @@
   private readonly steps: Step[] = [];
 
   /** @param options - Bounds of this VM's share. */
-  constructor(private readonly options: RepeatBudgetOptions) {}
+  constructor(private options: RepeatBudgetOptions) {}
+
+  /**
+   * Takes changed bounds; what was counted stays counted.
+   * @param options - Bounds of this VM's share.
+   */
+  applyOptions(options: RepeatBudgetOptions): void {
+    this.options = options;
+  }
 
   /**
    * Counts a request of a caller.
--- a/packages/gateway/src/callers/RoutedRequestMessage.ts
+++ b/packages/gateway/src/callers/RoutedRequestMessage.ts
@@ -2,6 +2,7 @@
 import type * as attemptEnding from '../upstreams/AttemptEnding.js';
 import type * as evidenceRow from '../upstreams/EvidenceRow.js';
 import type * as instanceRecord from '../upstreams/InstanceRecord.js';
+import type * as repeatBudget from './RepeatBudget.js';
 import type * as requestArrival from './RequestArrival.js';
 
 /** Message to the `RoutedRequestTask`. */
@@ -18,5 +19,7 @@
   // The time for which a request may wait for the first configuration is over.
   | { readonly type: 'hold-over'; readonly requestId: string }
   | { readonly type: 'peer-evidence'; readonly from: string; readonly rows: readonly evidenceRow.EvidenceRow[] }
+  // Settings that changed while the process runs.
+  | { readonly type: 'budget-changed'; readonly budget: repeatBudget.RepeatBudgetOptions }
   | { readonly type: 'sharing-due' }
   | { readonly type: 'queue-check' };
--- a/packages/gateway/src/callers/RoutedRequestTask.ts
+++ b/packages/gateway/src/callers/RoutedRequestTask.ts
@@ -135,6 +135,9 @@
       case 'peer-evidence':
         this.desks.applyEvidence(message.from, message.rows, this.options.timers.getNowMs());
         break;
+      case 'budget-changed':
+        this.desks.applyBudget(message.budget);
+        break;
       case 'sharing-due':
         this.sharingTimer = undefined;
         this.announceEvidence();
--- a/packages/gateway/src/callers/ServiceDesks.ts
+++ b/packages/gateway/src/callers/ServiceDesks.ts
@@ -19,8 +19,12 @@
 export class ServiceDesks {
   private readonly desks = new Map<string, serviceDesk.ServiceDesk>();
 
+  private budget: repeatBudget.RepeatBudgetOptions;
+
   /** @param options - Place and bounds. */
-  constructor(private readonly options: ServiceDesksOptions) {}
+  constructor(private readonly options: ServiceDesksOptions) {
+    this.budget = options.budget;
+  }
 
   /**
    * Gets what is kept for a service.
@@ -29,8 +33,8 @@
   getDesk(service: string): serviceDesk.ServiceDesk {
     const known = this.desks.get(service);
     if (known !== undefined) return known;
-    const { place, random, budget } = this.options;
-    const opened = new serviceDesk.ServiceDesk({ pool: { service, place, random }, budget });
+    const { place, random } = this.options;
+    const opened = new serviceDesk.ServiceDesk({ pool: { service, place, random }, budget: this.budget });
     this.desks.set(service, opened);
     return opened;
   }
@@ -40,6 +44,15 @@
     return [...this.desks.values()];
   }
 
+  /**
+   * Takes changed bounds of repeats.
+   * @param budget - Share of this VM in the repeats of each service.
+   */
+  applyBudget(budget: repeatBudget.RepeatBudgetOptions): void {
+    this.budget = budget;
+    this.desks.forEach((desk) => desk.budget.applyOptions(budget));
+  }
+
   /**
    * Takes the services of a newer configuration.
    * @param applied - Configuration.
--- a/packages/gateway/src/vms/MembershipMessage.ts
+++ b/packages/gateway/src/vms/MembershipMessage.ts
@@ -24,6 +24,8 @@
     readonly extent: 'changed' | 'same';
     readonly configuration: 'known' | 'missing';
   }
+  // Settings that changed while the process runs.
+  | { readonly type: 'settings-changed'; readonly seedHosts: readonly string[]; readonly validityMs: number }
   | { readonly type: 'evidence-found'; readonly rows: readonly evidenceRow.EvidenceRow[] }
   | { readonly type: 'directory-asked'; readonly place: string; readonly replyTo: core.tasks.Mailbox<DirectoryAnswer> }
   | { readonly type: 'readiness-asked'; readonly replyTo: core.tasks.Mailbox<vmHeartbeat.VmState> };
--- a/packages/gateway/src/vms/MembershipTask.ts
+++ b/packages/gateway/src/vms/MembershipTask.ts
@@ -71,9 +71,15 @@
 
   private fronts: readonly string[] = [];
 
+  private seedHosts: readonly string[];
+
+  private validityMs: number;
+
   /** @param options - Surroundings of the task. */
   constructor(private readonly options: MembershipTaskOptions) {
     super(options.scheduler);
+    this.seedHosts = options.seedHosts;
+    this.validityMs = options.validityMs;
   }
 
   /** Counts the other VMs that were lately heard. */
@@ -94,7 +100,7 @@
         this.timer = this.options.timers.subscribe({
           mailbox: this, message: { type: 'tick' as const }, delayMs: TICK_MS, periodMs: TICK_MS,
         });
-        this.sendHeartbeat(this.options.seedHosts, 'wanted');
+        this.sendHeartbeat(this.seedHosts, 'wanted');
         this.updateRole();
         break;
       case 'stop':
@@ -110,13 +116,18 @@
       case 'catalog-read':
         this.handleCatalog(message);
         break;
+      case 'settings-changed':
+        this.seedHosts = message.seedHosts;
+        this.validityMs = message.validityMs;
+        this.sendHeartbeat(this.seedHosts, 'wanted');
+        break;
       case 'evidence-found':
         this.options.outbox.post({
           type: 'send-evidence', hosts: this.listEvidenceHosts(), notice: { from: this.options.self.name, rows: message.rows },
         });
         break;
       case 'directory-asked':
-        message.replyTo.post({ hosts: this.listFronts(message.place), validityMs: this.options.validityMs });
+        message.replyTo.post({ hosts: this.listFronts(message.place), validityMs: this.validityMs });
         break;
       case 'readiness-asked':
         message.replyTo.post(this.state);
@@ -137,7 +148,7 @@
     if (front || this.ticks % RESERVE_TICKS === 0) this.sendHeartbeat(this.listTargets(nowMs), 'none');
     if (this.ticks % OTHER_PLACE_TICKS === 0) this.sendToOtherPlace();
     const lonely = this.listHeard().every((vm) => vm.getTold().place !== this.options.self.place);
-    if (this.ticks % (lonely ? LONELY_SEED_TICKS : SEED_TICKS) === 0) this.sendHeartbeat(this.options.seedHosts, 'wanted');
+    if (this.ticks % (lonely ? LONELY_SEED_TICKS : SEED_TICKS) === 0) this.sendHeartbeat(this.seedHosts, 'wanted');
     this.updateRole();
   }
 
--- a/packages/gateway/test/vms/MembershipTask.test.ts
+++ b/packages/gateway/test/vms/MembershipTask.test.ts
@@ -34,6 +34,15 @@
     this.tasks.get(name)!.post({ type: 'stop' });
   }
 
+  /**
+   * Gives a VM other seeds while it runs.
+   * @param name - Name of the VM.
+   * @param seedHosts - Hosts of the seeds.
+   */
+  changeSeeds(name: string, seedHosts: readonly string[]): void {
+    this.tasks.get(name)!.post({ type: 'settings-changed', seedHosts, validityMs: 1_000 });
+  }
+
   private startVm(name: string, seed: string): void {
     const task = new gateway.vms.MembershipTask({
       scheduler: new core.tasks.TaskScheduler(),
@@ -92,6 +101,16 @@
     ['a-1', 'a-2', 'a-3', 'a-4'].forEach((name) => vitest.expect(members.listFronts(name, 'a')).not.toContain(stopped));
   });
 
+  vitest.it('finds the others through seeds that were set while it ran', () => {
+    const tested = new TestMembers(['a-1', 'a-2', 'a-3']);
+    tested.down.add('a-1');
+    tested.timers.advanceTo(5_000);
+    vitest.expect(tested.listFronts('a-3', 'a')).toEqual(['a-3']);
+    tested.changeSeeds('a-3', ['a-2']);
+    tested.timers.advanceTo(5_100);
+    vitest.expect(tested.listFronts('a-3', 'a')).toEqual(['a-2', 'a-3']);
+  });
+
   vitest.it('keeps the view when the seed is gone', () => {
     const members = new TestMembers(NAMES);
     members.timers.advanceTo(8_000);
