Refuse requests that a stopping process could not answer before its end

Ruled out: a shorter time in which connections are accepted, since callers keep an answer of the directory for up to 3.6 s; an answer of our own in place of the instance's, since the request may have run.

Change: a request whose time is not over before the process ends is refused at once as not run.

--- a/packages/front/src/vms/FrontProcess.ts
+++ b/packages/front/src/vms/FrontProcess.ts
@@ -184,6 +184,7 @@
     if (this.stopAtMs !== Infinity) return;
     this.stopAtMs = this.timers.getNowMs() + this.settings.graceMs;
     this.log.write('process-stopping', { open: this.listener.countOpen() });
+    this.requests.post({ type: 'stopping', endsAtMs: this.stopAtMs - EXIT_MARGIN_MS });
     this.membership.post({ type: 'stop' });
     this.listener.post({ type: 'drain' });
     this.timers.subscribe({ mailbox: this, message: { type: 'accept-over' as const }, delayMs: this.settings.graceMs * ACCEPT_SHARE });
--- a/packages/gateway/src/callers/RequestArrival.ts
+++ b/packages/gateway/src/callers/RequestArrival.ts
@@ -19,8 +19,8 @@
 /**
  * Why the VM answers a request itself.
  * - `no-configuration`, `no-route`: the request cannot be routed.
- * - `no-instance`, `overloaded`, `too-late`: refused, the request has not run and will not.
+ * - `no-instance`, `overloaded`, `stopping`, `too-late`: refused, the request has not run and will not.
  * - `unknown`: it was sent and no proof exists that it did not run.
  * - `timed-out`: it was sent and its time is over.
  */
-export type RefusalReason = 'no-configuration' | 'no-route' | 'no-instance' | 'overloaded' | 'too-late' | 'unknown' | 'timed-out';
+export type RefusalReason = 'no-configuration' | 'no-route' | 'no-instance' | 'overloaded' | 'stopping' | 'too-late' | 'unknown' | 'timed-out';
--- a/packages/gateway/src/callers/RoutedRequestMessage.ts
+++ b/packages/gateway/src/callers/RoutedRequestMessage.ts
@@ -19,6 +19,8 @@
   // The time for which a request may wait for the first configuration is over.
   | { readonly type: 'hold-over'; readonly requestId: string }
   | { readonly type: 'peer-evidence'; readonly from: string; readonly rows: readonly evidenceRow.EvidenceRow[] }
+  // The process ends at this time.
+  | { readonly type: 'stopping'; readonly endsAtMs: number }
   // Settings that changed while the process runs.
   | { readonly type: 'budget-changed'; readonly budget: repeatBudget.RepeatBudgetOptions }
   | { readonly type: 'sharing-due' }
--- a/packages/gateway/src/callers/RoutedRequestTask.ts
+++ b/packages/gateway/src/callers/RoutedRequestTask.ts
@@ -78,6 +78,8 @@
 
   private nextAttempt = 0;
 
+  private endsAtMs = Infinity;
+
   private readonly sharing = new evidenceSharing.EvidenceSharing();
 
   private sharingTimer: core.time.TimerSubscription | undefined;
@@ -135,6 +137,9 @@
       case 'peer-evidence':
         this.desks.applyEvidence(message.from, message.rows, this.options.timers.getNowMs());
         break;
+      case 'stopping':
+        this.endsAtMs = message.endsAtMs;
+        break;
       case 'budget-changed':
         this.desks.applyBudget(message.budget);
         break;
@@ -165,6 +170,11 @@
       return;
     }
     const waitMs = Math.min(found.timeoutMs, arrival.deadlineMs ?? DEFAULT_DEADLINE_MS);
+    // An instance could still be at work on it when the process ends.
+    if (arrival.arrivedAtMs + waitMs > this.endsAtMs) {
+      this.refuseArrival(arrival, 'stopping');
+      return;
+    }
     const request = new routedRequest.RoutedRequest({
       arrival,
       route: found,
--- a/packages/gateway/test/callers/RoutedRequestTask.test.ts
+++ b/packages/gateway/test/callers/RoutedRequestTask.test.ts
@@ -159,6 +159,17 @@
     vitest.expect(tested.findOutcome(tested.sendRequest())).toMatchObject({ type: 'refuse', reason: 'no-instance' });
   });
 
+  vitest.it('refuses a request that an instance could still work on when the process ends', () => {
+    const tested = new testGateway.TestGateway([UNSAFE], INSTANCES);
+    tested.task.post({ type: 'stopping', endsAtMs: 5_600 });
+    tested.timers.advanceTo(3_500);
+    vitest.expect(tested.findOutcome(tested.sendRequest('/x/1', 2_000))).toBeUndefined();
+    tested.timers.advanceTo(3_700);
+    vitest.expect(tested.findOutcome(tested.sendRequest('/x/1', 2_000))).toMatchObject({ type: 'refuse', reason: 'stopping' });
+    vitest.expect(tested.findOutcome(tested.sendRequest('/x/1', 1_000))).toBeUndefined();
+    vitest.expect(tested.listAttempts()).toHaveLength(2);
+  });
+
   vitest.describe('before the first configuration', () => {
     function buildStarting(): testGateway.TestGateway {
       return new testGateway.TestGateway(undefined, INSTANCES);
