Explain from the logs what became of a request

Cause: on call, an id had to be followed by hand through the lines of all VMs (docs/OPERATIONS.md). Change: the operators' program has explain ID with text and JSON, which keeps runs of a process apart, orders lines within a run only, counts what it cannot read and names the probable cause with its facts. Ruled out: ordering lines of different VMs by their clocks, which differ and jump; a request stays at one VM.

--- /dev/null
+++ b/packages/operator/src/logs/CallerCause.ts
@@ -0,0 +1,10 @@
+import * as causeRule from './CauseRule.js';
+import type * as requestStory from './RequestStory.js';
+
+/** Requests whose caller left, without another sign of trouble. */
+export class CallerCause extends causeRule.CauseRule {
+  override findCause(story: requestStory.RequestStory): causeRule.Cause | undefined {
+    if (story.getOutcome() !== 'abandoned') return undefined;
+    return { name: 'caller-left', text: `the caller left after ${story.getElapsedMs()} ms` };
+  }
+}
--- a/packages/operator/src/main.ts
+++ b/packages/operator/src/main.ts
@@ -50,6 +50,11 @@
     .option('--json', 'Print one JSON object a file')
     .action((files: string[], options: { json?: boolean }) => (
       run(new commands.ReplayCommand({ files, format: options.json === true ? 'json' : 'text', output: OUTPUT }))));
+  cli.command('explain <id> [...files]', 'Explain from the logs of VMs what became of a request; without files, standard input is read')
+    .option('--json', 'Print one JSON object')
+    .action((id: string, files: string[], options: { json?: boolean }) => run(new commands.ExplainCommand({
+      id, files, input: process.stdin, format: options.json === true ? 'json' : 'text', output: OUTPUT,
+    })));
   cli.command('', 'Show help').action(() => {
     cli.outputHelp();
     process.exitCode = 2;
