--- a/packages/gateway/src/vms/MembershipTask.ts
+++ b/packages/gateway/src/vms/MembershipTask.ts
@@ -11,9 +11,13 @@
 const TICK_MS = 250;
 const FRONT_SILENCE_MS = 1_000;
 
-// The others send them less often: nobody depends on them at the moment.
-const RESERVE_TICKS = 4;
-const RESERVE_SILENCE_MS = 3_500;
+// The others send them less often: nobody depends on them at the moment. In a large place they send them still less often, so
+// that what a VM sends does not grow with the place.
+const MIN_RESERVE_TICKS = 4;
+const RESERVE_VMS_PER_TICK = 5;
+
+// Heartbeats that may be lost before a VM counts as silent.
+const RESERVE_SILENCE_PERIODS = 3.5;
 
 // Ticks between heartbeats to a VM of another place and to the seeds.
 const OTHER_PLACE_TICKS = 8;
@@ -145,7 +149,7 @@
     if (this.state === 'ready' || this.state === 'slow') this.setState(this.slowTicks > 0 ? 'slow' : 'ready');
     this.pruneVms(nowMs);
     const front = this.fronts.includes(this.options.self.host);
-    if (front || this.ticks % RESERVE_TICKS === 0) this.sendHeartbeat(this.listTargets(nowMs), 'none');
+    if (front || this.ticks % this.computeReserveTicks() === 0) this.sendHeartbeat(this.listTargets(nowMs), 'none');
     if (this.ticks % OTHER_PLACE_TICKS === 0) this.sendToOtherPlace();
     const lonely = this.listHeard().every((vm) => vm.getTold().place !== this.options.self.place);
     if (this.ticks % (lonely ? LONELY_SEED_TICKS : SEED_TICKS) === 0) this.sendHeartbeat(this.seedHosts, 'wanted');
@@ -173,7 +177,7 @@
   private applyMention(mention: vmHeartbeat.VmMention, nowMs: number): void {
     const known = this.vms.get(mention.name);
     if (known !== undefined) known.applyMention(mention, nowMs);
-    else if (mention.ageMs < RESERVE_SILENCE_MS) this.vms.set(mention.name, knownVm.KnownVm.fromMention(mention, nowMs));
+    else if (mention.ageMs < this.computeReserveSilenceMs()) this.vms.set(mention.name, knownVm.KnownVm.fromMention(mention, nowMs));
   }
 
   private handleCatalog(read: Extract<membershipMessage.MembershipMessage, { type: 'catalog-read' }>): void {
@@ -237,11 +241,21 @@
 
   private isHeard(vm: knownVm.KnownVm, nowMs: number): boolean {
     const { host, place } = vm.getTold();
-    const boundMs = place !== this.options.self.place || !this.fronts.includes(host) ? RESERVE_SILENCE_MS : FRONT_SILENCE_MS;
+    const boundMs = place !== this.options.self.place || !this.fronts.includes(host) ? this.computeReserveSilenceMs() : FRONT_SILENCE_MS;
     // VMs of other places are heard by gossip only.
     return vm.computeSilenceMs(nowMs) <= (place === this.options.self.place ? boundMs : TRY_MS);
   }
 
+  private computeReserveTicks(): number {
+    const { place } = this.options.self;
+    const placeSize = 1 + [...this.vms.values()].filter((vm) => vm.getTold().place === place).length;
+    return Math.max(MIN_RESERVE_TICKS, Math.ceil(placeSize / RESERVE_VMS_PER_TICK));
+  }
+
+  private computeReserveSilenceMs(): number {
+    return RESERVE_SILENCE_PERIODS * this.computeReserveTicks() * TICK_MS;
+  }
+
   private listHeard(): knownVm.KnownVm[] {
     const nowMs = this.options.timers.getNowMs();
     return [...this.vms.values()].filter((vm) => this.isHeard(vm, nowMs));
--- a/packages/gateway/test/LoadReplay.test.ts
+++ b/packages/gateway/test/LoadReplay.test.ts
@@ -18,6 +18,7 @@
 const REPEAT_RATIO = 0.2;
 const REPEAT_SLACK = 56;
 const RANK_TOLERANCE = 0.05;
+const FLOOR_SHARE = 0.7;
 
 function replayPattern(pattern: loadPattern.LoadPattern, seed: number): loadReplay.LoadReplay {
   const replay = new loadReplay.LoadReplay(pattern, seed);
@@ -43,6 +44,10 @@
     vitest.expect(served.reduce((sum, share) => sum + share, 0) / SEEDS.length).toBeGreaterThanOrEqual(TARGET_SERVED);
   });
 
+  vitest.it('gives requests to most of the sound instances of a large service within two seconds', () => {
+    SEEDS.forEach((seed) => vitest.expect(replayPattern(loadPatterns.LARGE, seed).smallestUsedShare).toBeGreaterThanOrEqual(FLOOR_SHARE));
+  });
+
   vitest.it.each([
     ['overload', loadPatterns.OVERLOAD], MOSTLY_GRAY,
   ] as const)('serves more when VMs tell each other what they have in flight (%s)', (_, pattern) => {
--- a/packages/gateway/test/LoadReplay.ts
+++ b/packages/gateway/test/LoadReplay.ts
@@ -10,6 +10,9 @@
 const PEER_DELAY_MS = 6;
 const SHARE_OF_EVIDENCE_SLACK = 5;
 
+// Span in which the users' rule asks that most of the sound instances get requests.
+const USE_SPAN_MS = 2_000;
+
 // More than the instances of a pattern.
 const SEED_SPACING = 1_000;
 
@@ -34,6 +37,9 @@
 export class LoadReplay {
   readonly results = new Map<string, RouteResult>();
 
+  /** Smallest share of the healthy instances of a service that got requests in a span of two seconds, without the first span. */
+  smallestUsedShare = 1;
+
   /** Attempts beyond the first of each request. */
   repeats = 0;
 
@@ -69,6 +75,7 @@
   /** Plays the whole pattern. */
   run(): void {
     this.pattern.routes.forEach((route) => this.scheduleArrival(route.name));
+    this.scheduleUseCheck(2 * USE_SPAN_MS);
     this.timers.advanceTo(this.pattern.lengthMs + 5_000);
   }
 
@@ -121,6 +128,19 @@
     task.post({ type: 'catalog-state', state: 'current' });
   }
 
+  private scheduleUseCheck(atMs: number): void {
+    if (atMs > this.pattern.lengthMs) return;
+    this.schedule(atMs - this.timers.getNowMs(), () => {
+      this.pattern.services.forEach(({ name }) => {
+        const sound = [...this.instances.values()]
+          .filter((instance) => instance.options.record.service === name && instance.isSoundFor(USE_SPAN_MS));
+        const used = sound.filter((instance) => instance.usedAtMs >= atMs - USE_SPAN_MS).length;
+        if (sound.length > 0) this.smallestUsedShare = Math.min(this.smallestUsedShare, used / sound.length);
+      });
+      this.scheduleUseCheck(atMs + USE_SPAN_MS / 4);
+    });
+  }
+
   private scheduleArrival(routeName: string): void {
     const route = this.pattern.routes.find((candidate) => candidate.name === routeName)!;
     const nowMs = this.timers.getNowMs();
--- a/packages/gateway/test/SimulatedInstance.ts
+++ b/packages/gateway/test/SimulatedInstance.ts
@@ -26,6 +26,9 @@
 export class SimulatedInstance {
   private readonly running = new Map<string, core.time.TimerSubscription | undefined>();
 
+  /** When it last got a request. */
+  usedAtMs = -Infinity;
+
   private waiting: Work[] = [];
 
   // Drawn at the start, so that the spells of a seed are the same whatever is decided.
@@ -54,6 +57,7 @@
    */
   receive(key: string, workMs: number, reply: Work['reply']): void {
     const work = { key, workMs, reply };
+    this.usedAtMs = this.options.timers.getNowMs();
     if (this.isShedding()) reply({ type: 'not-run', load: this.buildLoad() });
     else if (this.running.size < this.options.record.slots) this.start(work);
     else if (this.waiting.length < QUEUE_LENGTH) this.waiting.push(work);
@@ -109,6 +113,14 @@
     return slow !== undefined && this.speed === 'slow' && nowMs >= slow.fromMs && nowMs < slow.toMs ? slow.factor : 1;
   }
 
+  /**
+   * Whether it has not been gray for a time.
+   * @param spanMs - Time until now.
+   */
+  isSoundFor(spanMs: number): boolean {
+    return !this.isGray() && !this.isGray(spanMs);
+  }
+
   private isShedding(): boolean {
     const { shed } = this.options.pattern;
     const nowMs = this.options.timers.getNowMs();
@@ -116,9 +128,9 @@
       && this.options.random.drawFraction() < shed.share;
   }
 
-  private isGray(): boolean {
+  private isGray(beforeMs = 0): boolean {
     const { gray } = this.options.pattern;
-    const span = Math.floor(this.options.timers.getNowMs() / gray.spanMs + this.phase);
+    const span = Math.floor(Math.max(0, this.options.timers.getNowMs() - beforeMs) / gray.spanMs + this.phase);
     return this.spans[span] === 'gray';
   }
 }
--- a/packages/gateway/test/loadPatterns.ts
+++ b/packages/gateway/test/loadPatterns.ts
@@ -72,3 +72,10 @@
     service: 's1', share: 0.55, fromMs: 13_000, toMs: 21_500,
   },
 };
+
+/** A large service: eight times as many instances, of which a third would do. */
+export const LARGE: loadPattern.LoadPattern = {
+  ...QUIET,
+  services: [{ name: 's1', instances: 168, slots: 4 }, { name: 's2', instances: 48, slots: 4 }],
+  routes: QUIET.routes.map((route) => ({ ...route, perSecond: route.perSecond * 7 })),
+};
--- a/packages/gateway/test/vms/MembershipTask.test.ts
+++ b/packages/gateway/test/vms/MembershipTask.test.ts
@@ -8,6 +8,9 @@
 
   readonly down = new Set<string>();
 
+  /** Datagrams that each VM sent, by its name. */
+  readonly sent = new Map<string, number>();
+
   private readonly tasks = new Map<string, gateway.vms.MembershipTask>();
 
   /**
@@ -54,6 +57,7 @@
       outbox: {
         post: (output) => {
           if (output.type !== 'send-heartbeat' || this.down.has(name)) return;
+          this.sent.set(name, (this.sent.get(name) ?? 0) + output.hosts.length);
           output.hosts.filter((host) => !this.down.has(host))
             .forEach((host) => this.tasks.get(host)?.post({ type: 'heartbeat-received', heartbeat: output.heartbeat }));
         },
@@ -104,6 +108,19 @@
     ['a-1', 'a-2', 'a-3', 'a-4'].forEach((name) => vitest.expect(members.listFronts(name, 'a')).not.toContain(stopped));
   });
 
+  vitest.it('sends no more in a large place than in a small one, as long as callers are not sent to the VM', () => {
+    const countSent = (size: number): number => {
+      const members = new TestMembers(Array.from({ length: size }, (_, index) => `a-${index}`));
+      members.timers.advanceTo(20_000);
+      members.sent.clear();
+      members.timers.advanceTo(40_000);
+      const fronts = members.listFronts('a-0', 'a');
+      const reserves = [...members.sent].filter(([name]) => !fronts.includes(name)).map(([, count]) => count);
+      return reserves.reduce((sum, count) => sum + count, 0) / reserves.length;
+    };
+    vitest.expect(countSent(48)).toBeLessThanOrEqual(1.1 * countSent(20));
+  });
+
   vitest.it('finds the others through seeds that were set while it ran', () => {
     const tested = new TestMembers(['a-2', 'a-3'], 'a-1');
     tested.timers.advanceTo(5_000);
