Move patience and outcomes of requests out of the request task

Change: PatienceRule decides what a waiting request makes do with, RequestOutcomes tells callers and the log.

--- /dev/null
+++ b/packages/gateway/src/callers/PatienceRule.ts
@@ -0,0 +1,22 @@
+import type * as servicePool from '../upstreams/ServicePool.js';
+
+// Share of the latency objective for which a request waits for a better instance than a doubtful one.
+const PATIENT_SHARE = 0.1;
+
+// Share after which it rather waits at an instance than in the VM, and is refused if no instance has room for that: nobody
+// is held for longer and then refused.
+const URGENT_SHARE = 0.35;
+
+/** Decides what a request that waits makes do with. */
+export class PatienceRule {
+  /**
+   * Computes the patience of a request.
+   * @param waitedMs - Time since its arrival, in milliseconds.
+   * @param objectiveMs - Latency objective of its route, in milliseconds.
+   */
+  static computePatience(waitedMs: number, objectiveMs: number): servicePool.RequestPatience {
+    const waitedShare = waitedMs / objectiveMs;
+    if (waitedShare < PATIENT_SHARE) return 'patient';
+    return waitedShare < URGENT_SHARE ? 'urgent' : 'pressing';
+  }
+}
--- a/packages/gateway/src/callers/RoutedRequestTask.ts
+++ b/packages/gateway/src/callers/RoutedRequestTask.ts
@@ -8,10 +8,11 @@
 import * as admissionRule from './AdmissionRule.js';
 import * as earlyArrivals from './EarlyArrivals.js';
 import type * as gatewayOutput from './GatewayOutput.js';
+import * as patienceRule from './PatienceRule.js';
 import type * as repeatBudget from './RepeatBudget.js';
 import type * as requestArrival from './RequestArrival.js';
 import * as requestLog from './RequestLog.js';
-import type * as servicePool from '../upstreams/ServicePool.js';
+import * as requestOutcomes from './RequestOutcomes.js';
 import * as routedRequest from './RoutedRequest.js';
 import type * as routedRequestMessage from './RoutedRequestMessage.js';
 import type * as serviceDesk from './ServiceDesk.js';
@@ -33,13 +34,6 @@
 // A repeat that could not end in time would only take a slot.
 const REPEAT_TIME_QUANTILE = 0.5;
 
-// Share of the latency objective for which a request waits for a better instance than a doubtful one.
-const PATIENT_SHARE = 0.1;
-
-// Share after which it rather waits at an instance than in the VM, and is refused if no instance has room for that: nobody
-// is held for longer and then refused.
-const URGENT_SHARE = 0.35;
-
 // Deadline of callers that state none, in milliseconds; the time-out of the route bounds it further.
 const DEFAULT_DEADLINE_MS = 30_000;
 
@@ -76,6 +70,8 @@
 
   private readonly admission = new admissionRule.AdmissionRule();
 
+  private readonly outcomes: requestOutcomes.RequestOutcomes;
+
   private nextAttempt = 0;
 
   private endsAtMs = Infinity;
@@ -92,6 +88,7 @@
     this.desks = new serviceDesks.ServiceDesks(options);
     this.routes = new routePlan.RoutePlan(options.random);
     this.requestLog = new requestLog.RequestLog(options.outbox, options.timers);
+    this.outcomes = new requestOutcomes.RequestOutcomes({ ...options, log: this.requestLog, admission: this.admission });
   }
 
   /** Counts the requests in progress. */
@@ -160,19 +157,19 @@
     const found = this.routes.getRoute(arrival.host, arrival.path);
     if (found === undefined) {
       // A route that this VM has not heard of may exist while its configuration is not known to be current.
-      this.refuseArrival(arrival, this.routes.isKnown() && this.catalogState === 'current' ? 'no-route' : 'no-configuration');
+      this.outcomes.refuseArrival(arrival, this.routes.isKnown() && this.catalogState === 'current' ? 'no-route' : 'no-configuration');
       return;
     }
     const service = this.routes.chooseService(found);
     const nowMs = this.options.timers.getNowMs();
     if (service === undefined) {
-      this.refuseArrival(arrival, 'no-instance');
+      this.outcomes.refuseArrival(arrival, 'no-instance');
       return;
     }
     const waitMs = Math.min(found.timeoutMs, arrival.deadlineMs ?? DEFAULT_DEADLINE_MS);
     // An instance could still be at work on it when the process ends.
     if (arrival.arrivedAtMs + waitMs > this.endsAtMs) {
-      this.refuseArrival(arrival, 'stopping');
+      this.outcomes.refuseArrival(arrival, 'stopping');
       return;
     }
     const request = new routedRequest.RoutedRequest({
@@ -200,7 +197,7 @@
 
   private refuseEarly(requestId: string): void {
     const arrival = this.early.take(requestId);
-    if (arrival !== undefined) this.refuseArrival(arrival, 'no-configuration');
+    if (arrival !== undefined) this.outcomes.refuseArrival(arrival, 'no-configuration');
   }
 
   private enqueueRequest(request: routedRequest.RoutedRequest, desk: serviceDesk.ServiceDesk): void {
@@ -216,7 +213,8 @@
   // A pressing request for which no instance has room would only be held longer and refused after all.
   private decideWaiting(request: routedRequest.RoutedRequest, desk: serviceDesk.ServiceDesk): 'wait' | 'refuse' {
     const nowMs = this.options.timers.getNowMs();
-    if (RoutedRequestTask.computePatience(request, nowMs) === 'pressing') return 'refuse';
+    const { arrival, route } = request.options;
+    if (patienceRule.PatienceRule.computePatience(nowMs - arrival.arrivedAtMs, route.objectiveMs) === 'pressing') return 'refuse';
     return this.admission.decide(this.buildLoad(request, desk), request.computeLeftMs(nowMs));
   }
 
@@ -235,7 +233,7 @@
   private sendAttempt(request: routedRequest.RoutedRequest, desk: serviceDesk.ServiceDesk): boolean {
     const { options } = request;
     const nowMs = this.options.timers.getNowMs();
-    const patience = RoutedRequestTask.computePatience(request, nowMs);
+    const patience = patienceRule.PatienceRule.computePatience(nowMs - options.arrival.arrivedAtMs, options.route.objectiveMs);
     const chosen = desk.pool.chooseInstance(options.route.kind, request.listTried(), nowMs, patience);
     if (chosen === undefined) return false;
     this.nextAttempt += 1;
@@ -351,33 +349,15 @@
   }
 
   private answer(request: routedRequest.RoutedRequest, answer: attemptEnding.InstanceAnswer): void {
-    this.options.outbox.post({ type: 'answer', requestId: request.options.arrival.requestId, answer });
-    this.requestLog.logRequest('request-answered', request, { status: answer.status, attempts: request.attempts.length });
+    this.outcomes.answer(request, answer);
     this.endRequest(request);
   }
 
   private refuse(request: routedRequest.RoutedRequest, reason: requestArrival.RefusalReason): void {
-    const desk = this.desks.getDesk(request.options.service);
-    const load = this.buildLoad(request, desk);
-    this.options.outbox.post({
-      type: 'refuse',
-      requestId: request.options.arrival.requestId,
-      reason,
-      retryAfterMs: this.admission.computeRetryAfterMs(load, this.options.random.drawFraction()),
-    });
-    this.requestLog.logRequest('request-refused', request, {
-      reason, attempts: request.attempts.length, waiting: load.ahead, slots: load.slots, serviceMs: Math.round(load.serviceMs),
-    });
+    this.outcomes.refuse(request, reason, this.buildLoad(request, this.desks.getDesk(request.options.service)));
     this.endRequest(request);
   }
 
-  private refuseArrival(arrival: requestArrival.RequestArrival, reason: requestArrival.RefusalReason): void {
-    this.options.outbox.post({
-      type: 'refuse', requestId: arrival.requestId, reason, retryAfterMs: reason === 'no-route' ? undefined : 500 + 500 * this.options.random.drawFraction(),
-    });
-    this.requestLog.logUnrouted('request-refused', arrival, reason);
-  }
-
   private endRequest(request: routedRequest.RoutedRequest): void {
     if (request.state === 'waiting') this.desks.getDesk(request.options.service).queue.remove(request);
     request.state = 'ended';
@@ -423,13 +403,6 @@
     };
   }
 
-  private static computePatience(request: routedRequest.RoutedRequest, nowMs: number): servicePool.RequestPatience {
-    const { arrival, route } = request.options;
-    const waitedShare = (nowMs - arrival.arrivedAtMs) / route.objectiveMs;
-    if (waitedShare < PATIENT_SHARE) return 'patient';
-    return waitedShare < URGENT_SHARE ? 'urgent' : 'pressing';
-  }
-
   private computeCallerLeftMs(request: routedRequest.RoutedRequest, nowMs: number): number {
     const { arrival } = request.options;
     return arrival.deadlineMs === undefined ? Infinity : arrival.arrivedAtMs + arrival.deadlineMs - nowMs;
--- a/packages/gateway/src/callers/index.ts
+++ b/packages/gateway/src/callers/index.ts
@@ -1,10 +1,12 @@
-export * from './EarlyArrivals.js';
 export * from './AdmissionRule.js';
 export * from './DrainRate.js';
+export * from './EarlyArrivals.js';
 export type * from './GatewayOutput.js';
+export * from './PatienceRule.js';
 export * from './RepeatBudget.js';
 export type * from './RequestArrival.js';
 export * from './RequestLog.js';
+export * from './RequestOutcomes.js';
 export * from './RoutedRequest.js';
 export type * from './RoutedRequestMessage.js';
 export * from './RoutedRequestTask.js';
