--- a/packages/gateway/src/upstreams/ServicePool.ts
+++ b/packages/gateway/src/upstreams/ServicePool.ts
@@ -10,8 +10,12 @@
 // A request that cannot be repeated rather waits for a better instance than go to one that probably fails it.
 const DOUBTFUL_FAILURE = 0.4;
 
-// How long a request has waited: a \`patient\` one rather waits on than go to a doubtful instance, a \`pressing\` one rather waits
-// at an instance than be refused after all.
+/**
+ * What a request that waits makes do with.
+ * - `patient`: waits on rather than go to a doubtful instance.
+ * - `urgent`: goes to any instance that has room.
+ * - `pressing`: waits at an instance rather than be refused after all.
+ */
 export type RequestPatience = 'patient' | 'urgent' | 'pressing';
 
 // Requests that may wait at an instance with full slots, so that no slot is idle until the VM hears of an answer.
