Blame no instance when a caller left sooner than answers take

Change: for a caller that left, an attempt counts as silent only after twice the median time of its route at that VM.

--- a/packages/operator/src/logs/CallerCause.ts
+++ b/packages/operator/src/logs/CallerCause.ts
@@ -5,6 +5,8 @@
 export class CallerCause extends causeRule.CauseRule {
   override findCause(story: requestStory.RequestStory): causeRule.Cause | undefined {
     if (story.getOutcome() !== 'abandoned') return undefined;
-    return { name: 'caller-left', text: `the caller left after ${story.getElapsedMs()} ms` };
+    const usualMs = story.computeUsualMs();
+    const usual = usualMs === undefined ? '' : `; answers of its route usually take ${usualMs} ms`;
+    return { name: 'caller-left', text: `the caller left or its connection broke after ${story.getElapsedMs()} ms${usual}` };
   }
 }
--- a/packages/operator/src/logs/InstanceCause.ts
+++ b/packages/operator/src/logs/InstanceCause.ts
@@ -21,9 +21,11 @@
     return undefined;
   }
 
-  // An attempt that another one overtook soon says nothing of its instance.
+  // An attempt that another one overtook soon, or whose caller left sooner than answers take, says nothing of its instance.
   private isSilent(story: requestStory.RequestStory, attempt: logLine.LogLine): boolean {
-    return story.getOutcome() !== 'answered' || story.readNumber(attempt, 'ageMs') > story.getElapsedMs() / 2;
+    const ageMs = story.readNumber(attempt, 'ageMs');
+    if (story.getOutcome() === 'answered') return ageMs > story.getElapsedMs() / 2;
+    return story.getOutcome() !== 'abandoned' || ageMs >= InstanceCause.SILENCE_FACTOR * (story.computeUsualMs() ?? 0);
   }
 
   private buildCause(name: causeRule.CauseName, story: requestStory.RequestStory, attempt: logLine.LogLine, text: string): causeRule.Cause {
@@ -36,6 +38,9 @@
     };
   }
 
+  // A silence of this many usual times tells that an answer is missing.
+  private static readonly SILENCE_FACTOR = 2;
+
   // Above this a VM takes an instance for gray.
   private static readonly GRAY_FAILURE = 0.4;
 
--- a/packages/operator/src/logs/RequestStory.ts
+++ b/packages/operator/src/logs/RequestStory.ts
@@ -63,6 +63,16 @@
     return this.readNumber(this.getEnd(), 'attempts');
   }
 
+  /** Computes the median time of answered requests of its route at its VM, in milliseconds, or undefined if none is logged. */
+  computeUsualMs(): number | undefined {
+    const route = this.readText(this.getEnd(), 'route');
+    const times = this.run.listLines()
+      .filter((line) => line.event === 'request-answered' && line.fields['route'] === route && line.fields['id'] !== this.id)
+      .map((line) => this.readNumber(line, 'elapsedMs'))
+      .sort((left, right) => left - right);
+    return times[Math.floor(times.length / 2)];
+  }
+
   /** Computes the time since the VM got the version in force, in milliseconds, or undefined if none is logged. */
   findConfiguration(): { readonly version: unknown; readonly ageMs: number } | undefined {
     const endMs = this.getEnd()?.ms ?? 0;
--- a/packages/operator/test/commands/ExplainCommand.test.ts
+++ b/packages/operator/test/commands/ExplainCommand.test.ts
@@ -66,6 +66,19 @@
     vitest.expect(await findCause(lines)).toBe(cause);
   });
 
+  vitest.it('blames no instance when the caller left sooner than answers take', async () => {
+    const usual = [1, 2, 3].map((ms) => buildLine(ms, 'request-answered', { id: `u${ms}`, route: 'r1', elapsedMs: 250 }));
+    const buildLeft = (elapsedMs: number): string[] => [
+      ...usual,
+      buildLine(1_000, 'request-abandoned', {
+        id: 'q1', route: 'r1', elapsedMs, attempts: 1,
+      }),
+      buildAttempt('cancelled', { ageMs: elapsedMs }),
+    ];
+    vitest.expect(await findCause(buildLeft(60))).toBe('caller-left');
+    vitest.expect(await findCause(buildLeft(900))).toBe('silent-instance');
+  });
+
   vitest.it('takes an instance at which other VMs fail for gray, though this VM did not know', async () => {
     const others = [1, 2, 3].map((ms) => buildLine(ms, 'attempt-failed', { id: `o${ms}`, instance: 'i1', ending: 'cancelled' }, 'vm2'));
     vitest.expect(await findCause([...others, buildRefusal('timed-out'), buildAttempt('cancelled', { failure: 0.05 })])).toBe('silent-instance');
