Believe only refusals that echo the id of their request, and bound what peers may send

Cause: RoutedResponseReader took a refusal or misdirection for the one of the request in flight whatever id it carried, so a refusal that an instance wrote once more on a kept connection ended the next request as not run (REFUSED, TWICE). Interim responses were read without a limit, each response could hold 16 MiB on a VM of 250 MB, and bodies of requests counted only once they were complete. A planned stop put Connection: close on the response of any pipelined request and so lost the responses behind it.

Ruled out by tests that pass before and after: heads, trailers and chunk extensions without end (undici bounds them or the deadline ends them), bytes between two requests (undici closes the connection), bare CR, NUL, two lengths (the parser refuses them).

Change: an answer or refusal counts only if it echoes the id once; an exchange whose head shows another id ends at once; at most 32 interim responses; ByteBudget limits bodies of requests to 0.2 and of responses to 0.125 of the memory in the settings and evicts the largest; bodies that are incomplete at their deadline get 408; only the newest request of a connection closes it, and what follows is not read; RequestFields checks raw header fields in both listeners.

--- a/packages/entry/src/callers/CallerListener.ts
+++ b/packages/entry/src/callers/CallerListener.ts
@@ -175,7 +175,11 @@
         if (head.firstSegment === '-') this.handleEndpointRequest(requestId, exchange, head);
         else this.receiveCallerRequest(requestId, exchange, request, head);
       },
-      (refusal) => exchange.refuse(refusal),
+      (refusal) => {
+        // The bytes that follow may be a part of this request in the view of another reader.
+        if (refusal.reason === 'malformed-request') exchange.setConnectionClose();
+        exchange.refuse(refusal);
+      },
     );
   }
 
--- a/packages/entry/src/callers/RequestHead.ts
+++ b/packages/entry/src/callers/RequestHead.ts
@@ -36,9 +36,8 @@
     const [path = '', ...queryParts] = target.split('?');
     if (!path.startsWith('/') || path.includes('\\') || target.includes('#')) return refuse('path-invalid', 'the target has to be a path that begins with a slash');
     if (DOT_SEGMENT_PATTERN.test(path)) return refuse('path-invalid', 'the path has dot segments');
-    if (request.headers['transfer-encoding'] !== undefined && request.headers['content-length'] !== undefined) {
-      return refuse('malformed-request', 'content-length and transfer-encoding exclude each other');
-    }
+    const invalidField = links.RequestFields.describeInvalid(request.rawHeaders);
+    if (invalidField !== undefined) return refuse('malformed-request', invalidField);
     const repeatedHeader = NON_REPEATABLE_HEADERS.find((name) => (request.headersDistinct[name]?.length ?? 0) > 1);
     if (repeatedHeader !== undefined) return refuse('malformed-request', `${repeatedHeader} is given more than once`);
     const deadline = request.headersDistinct['tamarack-deadline-ms']?.[0];
--- a/packages/entry/src/links/index.ts
+++ b/packages/entry/src/links/index.ts
@@ -1,4 +1,5 @@
 export * from './HeaderFilter.js';
+export * from './RequestFields.js';
 export * from './PeerCodec.js';
 export * from './PeerConnections.js';
 export * from './PeerRouter.js';
--- a/packages/entry/src/upstreams/Exchange.ts
+++ b/packages/entry/src/upstreams/Exchange.ts
@@ -6,6 +6,9 @@
 import type * as responseReader from './ResponseReader.js';
 import type * as upstreamConnection from './UpstreamConnection.js';
 
+// Greatest number of interim responses (1xx) to one request. Each is read and dropped, so an instance could send them without end.
+const MAX_INTERIM_RESPONSES = 32;
+
 /**
  * How an exchange ended.
  * - `complete`: the complete response was received and passed all checks.
@@ -45,6 +48,8 @@
 
   private state: 'open' | 'ended' = 'open';
 
+  private interimResponses = 0;
+
   /** @param options - Request, connection pool, reader of the response and time-out. */
   constructor(private readonly options: ExchangeOptions) {}
 
@@ -61,9 +66,7 @@
     });
     this.connection.dispatch(options.request, {
       onRequestStart: (controller) => this.handleRequestStart(controller),
-      onResponseStart: (controller, status) => {
-        if (status >= 200) this.options.reader.readHeaders(status, (controller.rawHeaders ?? []) as Buffer[]);
-      },
+      onResponseStart: (controller, status) => this.handleResponseStart(controller, status),
       onResponseData: (_, chunk) => {
         if (this.state === 'open') this.handleBodyChunk(chunk);
       },
@@ -129,6 +132,17 @@
     this.end('reset');
   }
 
+  private handleResponseStart(controller: undici.Dispatcher.DispatchController, status: number): void {
+    if (this.state === 'ended') return;
+    if (status < 200) {
+      this.interimResponses += 1;
+      if (this.interimResponses > MAX_INTERIM_RESPONSES) this.end('truncated');
+      return;
+    }
+    this.options.reader.readHeaders(status, (controller.rawHeaders ?? []) as Buffer[]);
+    if (!this.options.reader.isUsable()) this.end('truncated');
+  }
+
   private isResponseComplete(): boolean {
     return this.connection?.hasFailed() !== true && this.options.reader.isComplete();
   }
--- a/packages/entry/src/upstreams/ResponseReader.ts
+++ b/packages/entry/src/upstreams/ResponseReader.ts
@@ -10,6 +10,11 @@
   /** Whether the headers of the response were received. */
   abstract hasHeaders(): boolean;
 
+  /** Whether the response can belong to the request, as far as its headers show. The exchange of another one ends before its body. */
+  isUsable(): boolean {
+    return true;
+  }
+
   /**
    * Reads a chunk of the body. Returns `overflowed` if the body received so far exceeds the size limit of the reader.
    * @param chunk - Chunk of the body.
--- a/packages/front/src/callers/FrontExchange.ts
+++ b/packages/front/src/callers/FrontExchange.ts
@@ -1,24 +1,37 @@
 import type * as http from 'node:http';
 
+import type * as byteBudget from '../links/ByteBudget.js';
+
 const NO_BODY_STATUSES = new Set([204, 304]);
 
+/** Options of a `FrontExchange`. */
+export interface FrontExchangeOptions {
+  /** Request as received. */
+  readonly request: http.IncomingMessage;
+  /** Response that `send` writes. */
+  readonly response: http.ServerResponse;
+  /** Time at which the request headers were received. */
+  readonly arrivedAtMs: number;
+  /** Called if the incomplete body of the request has to give up its memory. */
+  readonly onEvict: (exchange: FrontExchange) => void;
+}
+
 /** One HTTP request of a caller together with its response. */
-export class FrontExchange {
-  private readonly chunks: Buffer[] = [];
+export class FrontExchange implements byteBudget.ByteHolder {
+  private chunks: Buffer[] = [];
 
   private receivedBytes = 0;
 
-  /**
-   * @param request - Request as received.
-   * @param response - Response that `send` writes.
-   * @param arrivedAtMs - Time at which the request headers were received.
-   */
-  constructor(
-    readonly request: http.IncomingMessage,
-    private readonly response: http.ServerResponse,
-    readonly arrivedAtMs: number,
-  ) {
-    response.sendDate = false;
+  private state: 'receiving' | 'received' = 'receiving';
+
+  /** @param options - Request, response, arrival time and handler of an eviction. */
+  constructor(readonly options: FrontExchangeOptions) {
+    this.options.response.sendDate = false;
+  }
+
+  /** Gets the request as received. */
+  getRequest(): http.IncomingMessage {
+    return this.options.request;
   }
 
   /**
@@ -33,14 +46,29 @@
     return 'within';
   }
 
-  /** Gets the request body as buffered so far. */
-  getBody(): Buffer {
-    return this.chunks.length === 1 ? this.chunks[0]! : Buffer.concat(this.chunks);
+  /** Joins the chunks of the complete request body and returns it. */
+  takeBody(): Buffer {
+    this.state = 'received';
+    const body = this.chunks.length === 1 ? this.chunks[0]! : Buffer.concat(this.chunks);
+    this.chunks = [];
+    return body;
+  }
+
+  /** Whether the body is incomplete. An instance may be working on a request whose body is complete. */
+  isEvictable(): boolean {
+    return this.state === 'receiving';
+  }
+
+  /** Gives up the incomplete body; the request is refused. */
+  evict(): void {
+    this.chunks = [];
+    this.options.onEvict(this);
   }
 
   /** Whether a response can still be sent. */
   isOpen(): boolean {
-    return !this.response.headersSent && !this.response.destroyed;
+    const { response } = this.options;
+    return !response.headersSent && !response.destroyed;
   }
 
   /**
@@ -52,10 +80,11 @@
    */
   send(status: number, headers: readonly string[], body: Uint8Array, connection: 'keep' | 'close'): void {
     if (!this.isOpen()) return;
-    const bodiless = this.request.method === 'HEAD' || NO_BODY_STATUSES.has(status);
+    const { request, response } = this.options;
+    const bodiless = request.method === 'HEAD' || NO_BODY_STATUSES.has(status);
     const connectionHeaders = bodiless ? [] : ['content-length', String(body.byteLength)];
     if (connection === 'close') connectionHeaders.push('connection', 'close');
-    this.response.writeHead(status, [...headers, ...connectionHeaders]);
-    this.response.end(bodiless ? undefined : body);
+    response.writeHead(status, [...headers, ...connectionHeaders]);
+    response.end(bodiless ? undefined : body);
   }
 }
--- a/packages/front/src/callers/FrontListener.ts
+++ b/packages/front/src/callers/FrontListener.ts
@@ -5,6 +5,8 @@
 import type * as gateway from '@tamarackferry/gateway';
 import * as neverthrow from 'neverthrow';
 
+import * as byteBudget from '../links/ByteBudget.js';
+import * as callerConnection from './CallerConnection.js';
 import type * as callerDialect from './CallerDialect.js';
 import * as frontExchange from './FrontExchange.js';
 import type * as frontMessage from './FrontMessage.js';
@@ -14,11 +16,13 @@
   headerBytes: 16 * 1024, bodyBytes: 1024 * 1024, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000,
 };
 
-// Limit on all buffered request bodies together. Bodies stay in memory until their request ends; a VM may have as little as 250 MB.
-const MAX_BUFFERED_BODY_BYTES = 96 * 1024 * 1024;
-
-// Interval at which the server checks the header and idle time-outs, and the retry time stated while the buffer limit is reached.
+// Interval at which the server checks the header and idle time-outs and incomplete bodies, and the retry time stated while the buffer limit
+// is reached.
 const LIMIT_CHECK_INTERVAL_MS = 1_000;
+
+// Time to receive a request whose caller states no deadline.
+const DEFAULT_RECEIVE_MS = 30_000;
+const REQUEST_TIMEOUT_STATUS = 408;
 const EMPTY_BODY = Buffer.alloc(0);
 const NO_EXCLUDED_HEADERS: ReadonlySet<string> = new Set();
 
@@ -31,6 +35,11 @@
   readonly dialect: callerDialect.CallerDialect;
   /** Task that routes the requests to instances. */
   readonly requestTask: core.tasks.Mailbox<gateway.callers.RoutedRequestMessage>;
+  /**
+   * Maximum length of the bodies that are buffered for all requests together. At the limit, the request with the longest incomplete body is
+   * refused with a time to come back. A body stays buffered until its request ends.
+   */
+  readonly bufferBytes: number;
   /** Called for each event to be logged and counted. */
   readonly onEvent: (event: string, fields: gateway.callers.LogFields) => void;
 }
@@ -41,12 +50,17 @@
 
   private readonly exchanges = new Map<string, frontExchange.FrontExchange>();
 
-  private readonly requestIdsBySocket = new Map<net.Socket, Set<string>>();
+  private readonly connections = new Map<net.Socket, callerConnection.CallerConnection>();
+
+  // Requests whose bodies are being received.
+  private readonly receiving = new Set<frontExchange.FrontExchange>();
+
+  private receiveTimer: core.time.TimerSubscription | undefined;
 
   private limits = INITIAL_LIMITS;
 
-  // Length of all buffered request bodies.
-  private heldBytes = 0;
+  // Complete bodies are never evicted: an instance may be working on their requests.
+  private readonly budget: byteBudget.ByteBudget;
 
   private lastRequestNumber = 0;
 
@@ -55,6 +69,7 @@
   /** @param options - Options of the listener. */
   constructor(private readonly options: FrontListenerOptions) {
     super(options.scheduler);
+    this.budget = new byteBudget.ByteBudget(options.bufferBytes);
     this.server = http.createServer({
       connectionsCheckingInterval: LIMIT_CHECK_INTERVAL_MS, noDelay: true, maxHeaderSize: INITIAL_LIMITS.headerBytes,
     });
@@ -98,6 +113,10 @@
       case 'drain':
         this.state = 'draining';
         break;
+      case 'receive-check-due':
+        this.receiveTimer = undefined;
+        this.refuseOverdue();
+        break;
       case 'close-listener':
         this.server.close();
         this.server.closeIdleConnections();
@@ -110,22 +129,36 @@
     const exchange = this.exchanges.get(requestId);
     if (exchange === undefined) return;
     this.endExchange(requestId, exchange);
-    exchange.send(status, headers, body, this.state === 'draining' ? 'close' : 'keep');
+    this.sendResponse(exchange, status, headers, body, this.state === 'draining' ? 'close' : 'keep');
+  }
+
+  private sendResponse(
+    exchange: frontExchange.FrontExchange,
+    status: number,
+    headers: readonly string[],
+    body: Uint8Array,
+    wanted: 'keep' | 'close',
+  ): void {
+    const connection = this.connections.get(exchange.getRequest().socket);
+    if (connection !== undefined) exchange.send(status, headers, body, connection.decideAfter(exchange, wanted));
   }
 
   private endExchange(requestId: string, exchange: frontExchange.FrontExchange): void {
     this.exchanges.delete(requestId);
-    this.requestIdsBySocket.get(exchange.request.socket)?.delete(requestId);
-    this.heldBytes -= exchange.getBody().length;
+    this.connections.get(exchange.getRequest().socket)?.requestIds.delete(requestId);
+    this.budget.release(exchange);
   }
 
   private trackSocket(socket: net.Socket): void {
-    this.requestIdsBySocket.set(socket, new Set());
+    const connection = new callerConnection.CallerConnection();
+    this.connections.set(socket, connection);
     socket.once('close', () => {
-      const requestIds = this.requestIdsBySocket.get(socket) ?? new Set();
-      this.requestIdsBySocket.delete(socket);
+      this.connections.delete(socket);
+      this.receiving.forEach((exchange) => {
+        if (exchange.getRequest().socket === socket) this.endReceiving(exchange);
+      });
       // A connection with pipelined requests can have several of them open.
-      requestIds.forEach((requestId) => {
+      connection.requestIds.forEach((requestId) => {
         const exchange = this.exchanges.get(requestId);
         if (exchange !== undefined) this.endExchange(requestId, exchange);
         this.options.requestTask.post({ type: 'caller-gone', requestId });
@@ -134,40 +167,94 @@
   }
 
   private receiveRequest(request: http.IncomingMessage, response: http.ServerResponse): void {
-    const exchange = new frontExchange.FrontExchange(request, response, this.options.timers.getNowMs());
-    request.on('data', (chunk: Buffer) => {
-      if (exchange.addChunk(chunk, this.limits.bodyBytes) === 'exceeded') exchange.send(413, [], EMPTY_BODY, 'close');
-    });
-    request.on('end', () => {
-      if (exchange.isOpen()) this.acceptRequest(exchange);
+    const exchange = new frontExchange.FrontExchange({
+      request,
+      response,
+      arrivedAtMs: this.options.timers.getNowMs(),
+      onEvict: (evicted) => this.refuseBody(evicted),
     });
     // After an error Node.js closes the socket, and the close handler of the socket ends the request.
     request.on('error', () => undefined);
     response.on('error', () => undefined);
+    if (this.connections.get(request.socket)?.accept(exchange) !== true) return;
+    const invalidField = entry.links.RequestFields.describeInvalid(request.rawHeaders);
+    if (invalidField !== undefined) {
+      this.options.onEvent('request-unreadable', { code: 'invalid-field', detail: invalidField });
+      this.sendResponse(exchange, 400, [], EMPTY_BODY, 'close');
+      return;
+    }
+    request.on('data', (chunk: Buffer) => this.receiveChunk(exchange, chunk));
+    request.on('end', () => {
+      this.receiving.delete(exchange);
+      if (exchange.isOpen()) this.acceptRequest(exchange);
+      else this.budget.release(exchange);
+    });
+  }
+
+  private receiveChunk(exchange: frontExchange.FrontExchange, chunk: Buffer): void {
+    if (!exchange.isOpen()) return;
+    if (exchange.addChunk(chunk, this.limits.bodyBytes) === 'exceeded') {
+      this.endReceiving(exchange);
+      this.sendResponse(exchange, 413, [], EMPTY_BODY, 'close');
+      return;
+    }
+    this.receiving.add(exchange);
+    this.receiveTimer ??= this.options.timers.subscribe({
+      mailbox: this, message: { type: 'receive-check-due' as const }, delayMs: LIMIT_CHECK_INTERVAL_MS,
+    });
+    this.budget.add(exchange, chunk.length);
+  }
+
+  private endReceiving(exchange: frontExchange.FrontExchange): void {
+    this.receiving.delete(exchange);
+    this.budget.release(exchange);
+  }
+
+  // The request was not passed on, so the refusal states that it has not run.
+  private refuseBody(exchange: frontExchange.FrontExchange): void {
+    this.receiving.delete(exchange);
+    const metadata = this.options.dialect.parseMetadata(exchange.getRequest().headers);
+    this.options.onEvent('request-refused', { id: metadata?.callerRequestId, reason: 'memory', heldBytes: this.budget.getHeldBytes() });
+    const refusal = this.options.dialect.buildRefusal('overloaded', LIMIT_CHECK_INTERVAL_MS);
+    this.sendResponse(exchange, refusal.status, refusal.headers, EMPTY_BODY, 'close');
+  }
+
+  // Without this limit, bodies that are sent slowly without end would hold the memory of all others.
+  private refuseOverdue(): void {
+    const nowMs = this.options.timers.getNowMs();
+    this.receiving.forEach((exchange) => {
+      const { headers } = exchange.getRequest();
+      const metadata = this.options.dialect.parseMetadata(headers);
+      if (nowMs - exchange.options.arrivedAtMs < (metadata?.deadlineMs ?? DEFAULT_RECEIVE_MS)) return;
+      this.options.onEvent('request-refused', { id: metadata?.callerRequestId, reason: 'incomplete' });
+      this.endReceiving(exchange);
+      this.sendResponse(exchange, REQUEST_TIMEOUT_STATUS, [], EMPTY_BODY, 'close');
+    });
+    if (this.receiving.size > 0) {
+      this.receiveTimer = this.options.timers.subscribe({
+        mailbox: this, message: { type: 'receive-check-due' as const }, delayMs: LIMIT_CHECK_INTERVAL_MS,
+      });
+    }
   }
 
   private acceptRequest(exchange: frontExchange.FrontExchange): void {
-    const { request } = exchange;
+    const request = exchange.getRequest();
     const metadata = this.options.dialect.parseMetadata(request.headers);
-    const requestIds = this.requestIdsBySocket.get(request.socket);
-    if (requestIds === undefined) return;
-    if (metadata === undefined) {
-      this.options.onEvent('request-malformed', { method: request.method, path: request.url });
-      exchange.send(400, [], EMPTY_BODY, 'keep');
+    const connection = this.connections.get(request.socket);
+    if (connection === undefined) {
+      this.budget.release(exchange);
       return;
     }
-    const body = exchange.getBody();
-    if (this.heldBytes + body.length > MAX_BUFFERED_BODY_BYTES) {
-      this.options.onEvent('request-refused', { id: metadata.callerRequestId, reason: 'memory', heldBytes: this.heldBytes });
-      const refusal = this.options.dialect.buildRefusal('overloaded', LIMIT_CHECK_INTERVAL_MS);
-      exchange.send(refusal.status, refusal.headers, EMPTY_BODY, 'keep');
+    if (metadata === undefined) {
+      this.options.onEvent('request-malformed', { method: request.method, path: request.url });
+      this.budget.release(exchange);
+      this.sendResponse(exchange, 400, [], EMPTY_BODY, 'keep');
       return;
     }
     this.lastRequestNumber += 1;
     const requestId = String(this.lastRequestNumber);
-    this.heldBytes += body.length;
     this.exchanges.set(requestId, exchange);
-    requestIds.add(requestId);
+    connection.requestIds.add(requestId);
     this.options.requestTask.post({
       type: 'request-arrived',
       arrival: {
@@ -177,9 +264,9 @@
         host: request.headers.host ?? '',
         path: request.url ?? '/',
         headers: entry.links.HeaderFilter.filterRawHeaders(request.rawHeaders, NO_EXCLUDED_HEADERS),
-        body,
+        body: exchange.takeBody(),
         deadlineMs: metadata.deadlineMs,
-        arrivedAtMs: exchange.arrivedAtMs,
+        arrivedAtMs: exchange.options.arrivedAtMs,
       },
     });
   }
@@ -198,7 +285,7 @@
       return;
     }
     this.options.onEvent('request-unreadable', { code: error.code, detail: error.message });
-    if ((this.requestIdsBySocket.get(socket)?.size ?? 0) > 0) {
+    if ((this.connections.get(socket)?.requestIds.size ?? 0) > 0) {
       // Responses to earlier requests on this connection are outstanding, and an error response must not be written between them.
       socket.pause();
       return;
--- a/packages/front/src/callers/FrontMessage.ts
+++ b/packages/front/src/callers/FrontMessage.ts
@@ -7,4 +7,6 @@
 export type FrontMessage =
   | Extract<gateway.callers.GatewayOutput, { type: 'answer' | 'refuse' | 'limits-changed' }>
   | { readonly type: 'drain' }
+  // Timer: the deadlines of requests whose bodies are being received are to be checked.
+  | { readonly type: 'receive-check-due' }
   | { readonly type: 'close-listener' };
--- a/packages/front/src/callers/index.ts
+++ b/packages/front/src/callers/index.ts
@@ -1,3 +1,4 @@
+export * from './CallerConnection.js';
 export * from './CallerDialect.js';
 export * from './DirectoryDialect.js';
 export * from './DirectoryListener.js';
--- a/packages/front/src/links/index.ts
+++ b/packages/front/src/links/index.ts
@@ -1,4 +1,5 @@
 export * from './EvidenceCodec.js';
+export * from './ByteBudget.js';
 export * from './AuxiliaryListener.js';
 export * from './HeartbeatSocket.js';
 export * from './CatalogUpdateClient.js';
--- a/packages/front/src/upstreams/RoutedExchange.ts
+++ b/packages/front/src/upstreams/RoutedExchange.ts
@@ -1,17 +1,20 @@
 import * as entry from '@tamarackferry/entry';
 import type * as gateway from '@tamarackferry/gateway';
 
+import type * as byteBudget from '../links/ByteBudget.js';
 import type * as routedResponseReader from './RoutedResponseReader.js';
 
 /** Options of a `RoutedExchange`. `timeoutMs` limits the time until the request is written. */
 export interface RoutedExchangeOptions extends entry.upstreams.ExchangeOptions {
   readonly reader: routedResponseReader.RoutedResponseReader;
+  /** Limit on the buffered response data of all exchanges. */
+  readonly budget: byteBudget.ByteBudget;
   /** Called once with the result. */
   readonly onEnd: (ending: gateway.upstreams.AttemptEnding) => void;
 }
 
 /** One attempt of a routed request on a connection to an instance. */
-export class RoutedExchange extends entry.upstreams.Exchange {
+export class RoutedExchange extends entry.upstreams.Exchange implements byteBudget.ByteHolder {
   /** @param routedOptions - Options of the exchange. */
   constructor(private readonly routedOptions: RoutedExchangeOptions) {
     super(routedOptions);
@@ -22,7 +25,23 @@
     if (this.controller === undefined) super.expire();
   }
 
+  /** Whether the response can be given up: always. */
+  isEvictable(): boolean {
+    return true;
+  }
+
+  /** Ends the exchange because the responses that are being received take too much memory together, this one the most. */
+  evict(): void {
+    this.end('truncated');
+  }
+
+  protected override handleBodyChunk(chunk: Buffer): void {
+    this.routedOptions.budget.add(this, chunk.length);
+    super.handleBodyChunk(chunk);
+  }
+
   protected override reportEnding(ending: entry.upstreams.ExchangeEnding): void {
+    this.routedOptions.budget.release(this);
     this.routedOptions.onEnd(this.buildEnding(ending));
   }
 
--- a/packages/front/src/upstreams/RoutedResponseReader.ts
+++ b/packages/front/src/upstreams/RoutedResponseReader.ts
@@ -3,7 +3,7 @@
 
 import type * as upstreamDialect from './UpstreamDialect.js';
 
-// Responses are buffered until they are complete; a VM may have as little as 250 MB of memory.
+// Responses are buffered until they are complete. All of them together are limited by the budget of `RoutedConnections`.
 const MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
 
 const NO_EXCLUDED_HEADERS: ReadonlySet<string> = new Set();
@@ -37,20 +37,28 @@
   override readHeaders(status: number, rawFields: readonly Buffer[]): void {
     this.status = status;
     this.rawFields = rawFields.map((field) => field.toString('latin1'));
-    const firstValues = new Map<string, string>();
-    // Backwards, so that the first value of a repeated header stays in the map.
-    for (let index = this.rawFields.length - 2; index >= 0; index -= 2) {
-      firstValues.set(this.rawFields[index]!.toLowerCase(), this.rawFields[index + 1]!);
+    const values = new Map<string, string>();
+    // A loop over pairs, since this runs for each response.
+    for (let index = 0; index < this.rawFields.length; index += 2) {
+      const name = this.rawFields[index]!.toLowerCase();
+      const previous = values.get(name);
+      values.set(name, previous === undefined ? this.rawFields[index + 1]! : `${previous}, ${this.rawFields[index + 1]!}`);
     }
-    const length = firstValues.get('content-length');
+    const length = values.get('content-length');
     this.declaredBytes = length === undefined || this.options.method === 'HEAD' ? undefined : Number(length);
-    this.metadata = this.options.dialect.parseMetadata(status, firstValues, this.options.callerRequestId);
+    this.metadata = this.options.dialect.parseMetadata(status, values, this.options.callerRequestId);
   }
 
   override hasHeaders(): boolean {
     return this.status !== 0;
   }
 
+  // A copy of an earlier response carries the id of an earlier request. That also holds for a refusal: it must not be taken as the
+  // statement that this request was not executed.
+  override isUsable(): boolean {
+    return this.metadata?.echo === 'matched';
+  }
+
   override readBodyChunk(chunk: Buffer): 'buffered' | 'overflowed' {
     this.receivedBytes += chunk.length;
     this.chunks.push(chunk);
@@ -62,13 +70,13 @@
   }
 
   override isConnectionReusable(): boolean {
-    return this.metadata?.echo === 'matched' || this.metadata?.execution !== 'may-have-run';
+    return this.isUsable();
   }
 
   /** Builds the result of an attempt whose response is complete. */
   buildEnding(): gateway.upstreams.AttemptEnding {
     const { metadata } = this;
-    if (metadata === undefined || (metadata.execution === 'may-have-run' && metadata.echo === 'mismatched')) return { type: 'broken' };
+    if (metadata === undefined || metadata.echo === 'mismatched') return { type: 'broken' };
     if (metadata.execution === 'misdirected') return { type: 'misdirected' };
     if (metadata.execution === 'not-run') return { type: 'not-run', load: metadata.load };
     // A response without a seal may come from another process that has taken over the address of the instance.
--- a/packages/front/src/upstreams/UpstreamDialect.ts
+++ b/packages/front/src/upstreams/UpstreamDialect.ts
@@ -2,7 +2,7 @@
 
 /** Values that a VM reads from the status and headers of a response for its own use. */
 export interface ResponseMetadata {
-  /** Whether the response echoes the id of the request that was sent. */
+  /** Whether the response echoes the id of the request that was sent, once. A response that echoes no id is `mismatched`. */
   readonly echo: 'matched' | 'mismatched';
   /** Whether the request was executed, as reported by the instance. `misdirected`: not executed, another instance has the address. */
   readonly execution: 'not-run' | 'misdirected' | 'may-have-run';
@@ -23,7 +23,7 @@
   /**
    * Parses the metadata of a response.
    * @param status - Status code.
-   * @param headers - First value of each header field, by lower-case name.
+   * @param headers - Values of the header fields by lower-case name; those of a repeated field are joined by commas.
    * @param callerRequestId - Id of the request that was sent.
    */
   abstract parseMetadata(status: number, headers: ReadonlyMap<string, string>, callerRequestId: string): ResponseMetadata;
--- a/packages/front/src/vms/FrontProcess.ts
+++ b/packages/front/src/vms/FrontProcess.ts
@@ -33,6 +33,10 @@
 // their counting windows overlap only in part; the margin keeps the sum within the budget.
 const RETRY_BUDGET_SHARE = 0.9;
 
+// Shares of the memory of the process for the bodies of requests and of responses. The runtime and the code need up to half of it.
+const BODY_MEMORY_SHARE = 0.2;
+const RESPONSE_MEMORY_SHARE = 0.125;
+
 // Settings that a running process can apply. The others, such as addresses and the identity of the VM, are fixed at its start.
 const RELOADABLE_FIELDS = [
   'seedHosts', 'shutdownGraceMs', 'maxValidityMs', 'retryRatio', 'retrySlack', 'retryWindowMs', 'placeCount',
@@ -123,10 +127,16 @@
       validityMs: FrontProcess.computeValidityMs(settings),
     });
     this.connections = new upstreams.RoutedConnections({
-      scheduler, timers, dialect: adapter.upstreams, requestTask: this.requests,
+      scheduler, timers, dialect: adapter.upstreams, requestTask: this.requests, bufferBytes: settings.memoryBytes * RESPONSE_MEMORY_SHARE,
     });
     this.listener = new callers.FrontListener({
-      ...settings.callers, scheduler, timers, dialect: adapter.callers, requestTask: this.requests, onEvent,
+      ...settings.callers,
+      scheduler,
+      timers,
+      dialect: adapter.callers,
+      requestTask: this.requests,
+      bufferBytes: settings.memoryBytes * BODY_MEMORY_SHARE,
+      onEvent,
     });
     this.heartbeats = new links.HeartbeatSocket({
       host: settings.host, port: settings.heartbeatPort, scheduler, membershipTask: this.membership, requestTask: this.requests, onEvent,
--- a/packages/front/src/vms/FrontSettings.ts
+++ b/packages/front/src/vms/FrontSettings.ts
@@ -26,6 +26,8 @@
   readonly seedHosts: readonly string[];
   /** Number of CPU cores available to the VM; may be a fraction. */
   readonly capacity: number;
+  /** Memory that the process may use, in bytes. */
+  readonly memoryBytes: number;
   /** Grace period of a shutdown: time from the stop signal until the process must have exited, in milliseconds. */
   readonly shutdownGraceMs: number;
   /** Upper bound on the validity (TTL) of a directory response, in milliseconds. */
--- a/packages/front/test/TestUpstreamDialect.ts
+++ b/packages/front/test/TestUpstreamDialect.ts
@@ -10,9 +10,14 @@
   override parseMetadata(_: number, headers: ReadonlyMap<string, string>, callerRequestId: string): front.upstreams.ResponseMetadata {
     return {
       echo: headers.get('request-id') === callerRequestId ? 'matched' : 'mismatched',
-      execution: headers.has('not-run') ? 'not-run' : 'may-have-run',
+      execution: TestUpstreamDialect.parseExecution(headers),
       seal: headers.has('seal') ? 'present' : 'absent',
       load: undefined,
     };
   }
+
+  private static parseExecution(headers: ReadonlyMap<string, string>): front.upstreams.ResponseMetadata['execution'] {
+    if (headers.has('misdirected')) return 'misdirected';
+    return headers.has('not-run') ? 'not-run' : 'may-have-run';
+  }
 }
--- a/packages/front/test/callers/FrontListener.test.ts
+++ b/packages/front/test/callers/FrontListener.test.ts
@@ -6,6 +6,8 @@
 import * as testCallerDialect from '../TestCallerDialect.js';
 import * as testCaller from './TestCaller.js';
 
+const BUFFER_BYTES = 1_000_000;
+
 /** Listener under test, with a record of the messages that it posts. */
 class TestListener {
   readonly messages: gateway.callers.RoutedRequestMessage[] = [];
@@ -17,9 +19,22 @@
     timers: new core.time.SystemTimerService(),
     dialect: new testCallerDialect.TestCallerDialect(),
     requestTask: { post: (message) => this.messages.push(message) },
+    bufferBytes: BUFFER_BYTES,
     onEvent: () => undefined,
   });
 
+  private port = 0;
+
+  /** Starts listening. */
+  async listen(): Promise<void> {
+    this.port = (await this.listener.listen())._unsafeUnwrap();
+  }
+
+  /** Gets the port of the listener. */
+  getPort(): number {
+    return this.port;
+  }
+
   /** Lists the requests that the listener posted. */
   listArrivals(): gateway.callers.RequestArrival[] {
     return this.messages.flatMap((message) => (message.type === 'request-arrived' ? [message.arrival] : []));
@@ -45,7 +60,8 @@
 
   vitest.beforeEach(async () => {
     tested = new TestListener();
-    caller = await testCaller.TestCaller.connect((await tested.listener.listen())._unsafeUnwrap());
+    await tested.listen();
+    caller = await testCaller.TestCaller.connect(tested.getPort());
   });
 
   vitest.afterEach(() => {
@@ -88,6 +104,67 @@
     vitest.expect(tested.listArrivals()).toHaveLength(0);
   });
 
+  // Each of these could be read differently by an instance, which would then see a second request in the first one.
+  vitest.it.each([
+    ['a space in a header name', 'X y: 1'],
+    ['a space before the colon', 'X : 1'],
+    ['a bare CR in a value', 'X: 1\r2'],
+    ['a NUL in a value', 'X: 1\u00002'],
+    ['a second Host', 'Host: b'],
+    ['a second length', 'Content-Length: 7'],
+    ['a folded header line', 'X: 1\r\n 2'],
+  ])('refuses %s, does not pass the request on and closes the connection', async (_, line) => {
+    let closed = false;
+    caller.socket.once('close', () => {
+      closed = true;
+    });
+    caller.socket.write(`POST /x/ HTTP/1.1\r\nHost: a\r\nrequest-id: q1\r\n${line}\r\ncontent-length: 0\r\n\r\n${buildRequest('q2')}`);
+    await vitest.vi.waitFor(() => vitest.expect(closed, `received: ${caller.received}`).toBe(true));
+    vitest.expect(caller.received).toMatch(/^HTTP\/1.1 400/);
+    vitest.expect(tested.listArrivals()).toHaveLength(0);
+  });
+
+  vitest.it('keeps the incomplete bodies of all requests within the budget, and refuses the longest', async () => {
+    tested.listener.post({
+      type: 'limits-changed',
+      limits: {
+        headerBytes: 4_096, bodyBytes: 2 * BUFFER_BYTES, headerTimeoutMs: 3_000, idleTimeoutMs: 9_000,
+      },
+    });
+    caller.socket.write(`POST /x/ HTTP/1.1\r\nHost: a\r\nrequest-id: q1\r\ncontent-length: ${BUFFER_BYTES * 2}\r\n\r\n${'x'.repeat(0.7 * BUFFER_BYTES)}`);
+    const second = await testCaller.TestCaller.connect(tested.getPort());
+    second.socket.write(`POST /x/ HTTP/1.1\r\nHost: a\r\nrequest-id: q2\r\ncontent-length: ${0.4 * BUFFER_BYTES}\r\n\r\n${'x'.repeat(0.4 * BUFFER_BYTES)}`);
+    await vitest.vi.waitFor(() => vitest.expect(caller.received).toMatch(/^HTTP\/1.1 503[^]*overloaded/));
+    await vitest.vi.waitFor(() => vitest.expect(tested.listArrivals().map((arrival) => arrival.callerRequestId)).toEqual(['q2']));
+    second.socket.destroy();
+  });
+
+  vitest.it('answers 408 to a body that is incomplete at the deadline of its request', async () => {
+    caller.socket.write('POST /x/ HTTP/1.1\r\nHost: a\r\nrequest-id: q1\r\ndeadline: 100\r\ncontent-length: 9\r\n\r\npart');
+    await vitest.vi.waitFor(() => vitest.expect(caller.received).toMatch(/^HTTP\/1.1 408/), { timeout: 5_000 });
+    vitest.expect(tested.listArrivals()).toHaveLength(0);
+  });
+
+  // Guards against a planned stop that cuts off requests behind the one whose response closes the connection.
+  vitest.it.each([['in order', [0, 1]], ['in reverse', [1, 0]]] as const)('answers all pipelined requests that it has read before it closes their connection (%s)', async (_, order) => {
+    caller.socket.write(buildRequest('q1') + buildRequest('q2'));
+    await vitest.vi.waitFor(() => vitest.expect(tested.listArrivals()).toHaveLength(2));
+    tested.listener.post({ type: 'drain' });
+    order.forEach((index) => tested.answer(tested.listArrivals()[index]!.requestId, `answer ${index}`));
+    await vitest.vi.waitFor(() => vitest.expect(caller.received).toMatch(/answer 0[^]*answer 1$/));
+    vitest.expect(caller.received.match(/connection: close/gi)).toHaveLength(1);
+  });
+
+  vitest.it('does not read a request that follows a response which closes the connection', async () => {
+    caller.socket.write(buildRequest('q1'));
+    await vitest.vi.waitFor(() => vitest.expect(tested.listArrivals()).toHaveLength(1));
+    tested.listener.post({ type: 'drain' });
+    tested.answer(tested.listArrivals()[0]!.requestId, 'last');
+    caller.socket.write(buildRequest('q2'));
+    await vitest.vi.waitFor(() => vitest.expect(caller.received).toMatch(/last$/));
+    vitest.expect(tested.listArrivals()).toHaveLength(1);
+  });
+
   vitest.it('refuses a body longer than the configured limit', async () => {
     tested.listener.post({
       type: 'limits-changed',
--- a/packages/front/test/upstreams/RawInstance.ts
+++ b/packages/front/test/upstreams/RawInstance.ts
@@ -45,6 +45,15 @@
     this.sockets.forEach((socket) => socket.destroy());
   }
 
+  /**
+   * Builds a refusal.
+   * @param requestId - Id in the `request-id` header.
+   * @param statement - Header line which states that the request was not executed.
+   */
+  static buildRefusal(requestId: string, statement = 'not-run: 1'): string {
+    return `HTTP/1.1 503 Busy\r\nrequest-id: ${requestId}\r\n${statement}\r\ncontent-length: 0\r\n\r\n`;
+  }
+
   /**
    * Builds a complete response.
    * @param requestId - Id in the `request-id` header.
--- a/packages/front/test/upstreams/RoutedConnections.test.ts
+++ b/packages/front/test/upstreams/RoutedConnections.test.ts
@@ -10,6 +10,8 @@
 // Time for the client to read the first part of the response before the reset.
 const RESET_DELAY_MS = 50;
 
+const BUFFER_BYTES = 1_000_000;
+
 type Ending = gateway.upstreams.AttemptEnding;
 
 /** Connections under test, with the results of their attempts. */
@@ -22,6 +24,7 @@
     scheduler: new core.tasks.TaskScheduler(),
     timers: new core.time.SystemTimerService(),
     dialect: new testUpstreamDialect.TestUpstreamDialect(),
+    bufferBytes: BUFFER_BYTES,
     requestTask: {
       post: (message) => {
         if (message.type === 'attempt-ended') this.resolvers.get(message.attemptId)?.(message.ending);
@@ -53,6 +56,11 @@
       this.resolvers.set(attemptId, resolve);
     });
   }
+
+  /** Cancels the attempt that was sent last. */
+  cancelLatest(): void {
+    this.connections.post({ type: 'cancel-attempt', attemptId: String(this.lastAttemptNumber) });
+  }
 }
 
 vitest.describe('RoutedConnections', () => {
@@ -137,7 +145,109 @@
   });
 
   vitest.it('reports `not-run` if the instance reports that it did not execute the request', async () => {
-    const port = await startInstance((socket) => socket.write('HTTP/1.1 503 Busy\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n'));
+    const port = await startInstance((socket, id) => socket.write(rawInstance.RawInstance.buildRefusal(id)));
     vitest.expect(await tested.sendAttempt(port, 'q1')).toMatchObject({ type: 'not-run' });
+    vitest.expect(await tested.sendAttempt(port, 'q2')).toMatchObject({ type: 'not-run' });
+    vitest.expect(instance?.connections).toBe(1);
+  });
+
+  // Guards against a refusal that is taken for the one of a request that the instance is running.
+  vitest.it.each([
+    ['an earlier refusal', 'not-run: 1'],
+    ['an earlier misdirection', 'misdirected: 1'],
+  ])('does not believe %s that is written once more on a kept connection', async (_, statement) => {
+    let refusal = '';
+    const port = await startInstance((socket, id) => {
+      if (refusal === '') refusal = rawInstance.RawInstance.buildRefusal(id, statement);
+      // The instance runs every later request; only the copy of the refusal is sent.
+      socket.write(refusal);
+    });
+    vitest.expect(['not-run', 'misdirected']).toContain((await tested.sendAttempt(port, 'q1')).type);
+    vitest.expect(await tested.sendAttempt(port, 'q2')).toEqual({ type: 'broken' });
+    await tested.sendAttempt(port, 'q3');
+    vitest.expect(instance?.connections).toBe(2);
+  });
+
+  vitest.it.each([
+    ['no id', 'HTTP/1.1 503 Busy\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n'],
+    ['two ids', 'HTTP/1.1 503 Busy\r\nrequest-id: q1\r\nrequest-id: q0\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n'],
+  ])('does not believe a refusal with %s (guards against a refusal of an unknown request)', async (_, text) => {
+    const port = await startInstance((socket) => socket.write(text));
+    vitest.expect(await tested.sendAttempt(port, 'q1')).toEqual({ type: 'broken' });
+  });
+
+  vitest.it('closes a connection on which a refusal arrives between two requests', async () => {
+    const port = await startInstance((socket, id) => {
+      socket.write(rawInstance.RawInstance.buildResponse(id, 'own'), () => socket.write(rawInstance.RawInstance.buildRefusal('q0')));
+    });
+    await tested.sendAttempt(port, 'q1');
+    await new Promise((resolve) => {
+      new core.time.SystemTimerService().subscribe({ mailbox: { post: resolve }, message: undefined, delayMs: RESET_DELAY_MS });
+    });
+    vitest.expect(await tested.sendAttempt(port, 'q2')).toMatchObject({ type: 'answered' });
+    vitest.expect(instance?.connections).toBe(2);
+  });
+
+  // Bytes without end: the attempt must end by itself, and the process must not keep what it received.
+  vitest.it.each([
+    ['a head', 'HTTP/1.1 200 OK\r\nrequest-id: q1\r\n', `x: ${'x'.repeat(1_000)}\r\n`],
+    ['interim responses', '', 'HTTP/1.1 103 Early Hints\r\nx: 1\r\n\r\n'],
+    ['a body with the id of another request', 'HTTP/1.1 200 OK\r\nrequest-id: q0\r\nseal: 1\r\n\r\n', 'x'.repeat(1_000)],
+    ['a body above the budget', 'HTTP/1.1 200 OK\r\nrequest-id: q1\r\nseal: 1\r\n\r\n', 'x'.repeat(60_000)],
+    ['trailers', 'HTTP/1.1 200 OK\r\nrequest-id: q1\r\nseal: 1\r\ntransfer-encoding: chunked\r\n\r\n0\r\n', `x: ${'x'.repeat(1_000)}\r\n`],
+    ['text that is no HTTP', '', 'x'.repeat(1_000)],
+  ])('ends an attempt whose instance sends %s without end, and closes the connection', async (_, start, repeated) => {
+    let closed = false;
+    const port = await startInstance((socket) => {
+      socket.once('close', () => {
+        closed = true;
+      });
+      socket.write(start);
+      const sendMore = (): void => {
+        if (!socket.destroyed) socket.write(repeated, sendMore);
+      };
+      sendMore();
+    });
+    vitest.expect((await tested.sendAttempt(port, 'q1')).type).toMatch(/broken|reset/);
+    await vitest.vi.waitFor(() => vitest.expect(closed).toBe(true));
+  });
+
+  vitest.it('closes a connection whose chunk extension has no end when the attempt is cancelled', async () => {
+    let closed = false;
+    const port = await startInstance((socket, id) => {
+      socket.once('close', () => {
+        closed = true;
+      });
+      socket.write(`HTTP/1.1 200 OK\r\nrequest-id: ${id}\r\nseal: 1\r\ntransfer-encoding: chunked\r\n\r\n5;`);
+      const sendMore = (): void => {
+        if (!socket.destroyed) socket.write('x'.repeat(1_000), sendMore);
+      };
+      sendMore();
+    });
+    const sent = tested.sendAttempt(port, 'q1');
+    await new Promise((resolve) => {
+      new core.time.SystemTimerService().subscribe({ mailbox: { post: resolve }, message: undefined, delayMs: RESET_DELAY_MS });
+    });
+    tested.cancelLatest();
+    vitest.expect((await sent).type).toMatch(/cancelled|broken/);
+    await vitest.vi.waitFor(() => vitest.expect(closed).toBe(true));
+  });
+
+  vitest.it('breaks off the longest response, not another one, when all of them exceed the budget', async () => {
+    const port = await startInstance((socket, id) => {
+      if (id === 'small') {
+        socket.write(`HTTP/1.1 200 OK\r\nrequest-id: ${id}\r\nseal: 1\r\ncontent-length: 20000\r\n\r\n${'x'.repeat(10_000)}`);
+        new core.time.SystemTimerService().subscribe({
+          mailbox: { post: () => socket.write('x'.repeat(10_000)) }, message: 'rest', delayMs: 4 * RESET_DELAY_MS,
+        });
+        return;
+      }
+      socket.write(`HTTP/1.1 200 OK\r\nrequest-id: ${id}\r\nseal: 1\r\n\r\n`);
+      socket.write('x'.repeat(995_000));
+    });
+    const large = tested.sendAttempt(port, 'large');
+    const small = tested.sendAttempt(port, 'small');
+    vitest.expect(await large).toEqual({ type: 'broken' });
+    vitest.expect(await small).toMatchObject({ type: 'answered' });
   });
 });
