Leave an instance that fails at once after one VM has found it, and use it again sooner

A failure after successes changed the log odds from -4 to -1.8, below what is sent to other VMs, and a VM with successes of its own did not believe a report of another one. Reports waited for the next tick of 75 ms.

Change: a server error has the likelihood ratio that its shares give; a failure is sent to the other VMs at once; while another VM's suspicion is newer than the own latest success, own successes do not count against it; suspicion holds for 5 s and then returns to the prior in probability instead of log odds; use by other VMs counts for the idle time.

--- a/packages/gateway/src/callers/RoutedRequestTask.ts
+++ b/packages/gateway/src/callers/RoutedRequestTask.ts
@@ -284,10 +284,15 @@
     attempt.instance.endAttempt(attemptId, ending, this.options.timers.getNowMs());
     this.services.getService(request.options.service).slotReleaseRate.record(this.options.timers.getNowMs());
     this.requestLog.logAttempt(request, attempt, ending);
+    if (RoutedRequestTask.isFailure(ending)) this.publishEvidence();
     if (request.state !== 'ended') this.settleRequest(request, ending);
     this.serveQueue(this.services.getService(request.options.service));
   }
 
+  private static isFailure(ending: attemptEnding.AttemptEnding): boolean {
+    return ending.type === 'answered' ? ending.answer.status >= 500 : ending.type === 'reset' || ending.type === 'broken';
+  }
+
   private settleRequest(request: routedRequest.RoutedRequest, ending: attemptEnding.AttemptEnding): void {
     const { kind } = request.options.route;
     switch (ending.type) {
@@ -397,7 +402,7 @@
     const selected = this.gossip.selectEvidence(this.services.listEvidence(nowMs), nowMs);
     if (selected.length > 0) this.options.outbox.post({ type: 'evidence-found', rows: selected });
     if (this.attempts.size > 0 || this.gossip.hasReported()) {
-      this.gossipTimer = this.options.timers.subscribe({ mailbox: this, message: { type: 'gossip-due' as const }, delayMs: GOSSIP_INTERVAL_MS });
+      this.gossipTimer ??= this.options.timers.subscribe({ mailbox: this, message: { type: 'gossip-due' as const }, delayMs: GOSSIP_INTERVAL_MS });
     }
   }
 
--- a/packages/gateway/src/upstreams/EvidenceGossip.ts
+++ b/packages/gateway/src/upstreams/EvidenceGossip.ts
@@ -1,7 +1,7 @@
 import type * as instanceEvidence from './InstanceEvidence.js';
 
 // Smallest deviation from the prior log odds of a gray failure that is sent; a smaller one does not change any decision of another VM.
-const MIN_REPORTED_DEVIATION = 1.5;
+const MIN_REPORTED_DEVIATION = 1.2;
 
 // Evidence is sent again when its deviation has changed by this much, and otherwise at this interval while it is relevant.
 const MIN_DEVIATION_CHANGE = 0.7;
--- a/packages/gateway/src/upstreams/GrayFailureEstimator.ts
+++ b/packages/gateway/src/upstreams/GrayFailureEstimator.ts
@@ -1,8 +1,17 @@
 // Prior log odds that an instance without observations has a gray failure: a probability of about one in eight.
 const PRIOR_LOG_ODDS = -2;
+const PRIOR_PROBABILITY = 1 / (1 + Math.exp(-PRIOR_LOG_ODDS));
 
-// Gray failures last about ten seconds. Without new observations the estimate decays to the prior with this time constant.
-const DECAY_MS = 10_000;
+// Gray failures last several seconds. After this time without further evidence, the probability returns to the prior with the time constant
+// below, so that an instance that has recovered is used again.
+const FAILURE_SPAN_MS = 5_000;
+const FAILURE_DECAY_MS = 2_000;
+
+// A gray failure can begin at any time, so successes lose their weight with this time constant.
+const SUCCESS_DECAY_MS = 10_000;
+
+// Evidence of another VM that was not repeated loses its weight with this time constant.
+const PEER_DECAY_MS = 4_000;
 
 const MIN_LOG_ODDS = -4;
 const MAX_LOG_ODDS = 5;
@@ -12,8 +21,13 @@
 const GRAY_ANSWER_SHARE = 0.25;
 const SUCCESS_LOG_RATIO = -1.6;
 
-// About one request in a hundred fails at a healthy instance, and about one in two at an instance that fails part of its requests.
-const FAILURE_LOG_RATIO = 2.2;
+// About one request in a hundred gets a server error at a healthy instance, and more than one in two at an instance that fails part of its
+// requests. A broken connection says less, since the fault may be on the path from this VM.
+const SERVER_ERROR_LOG_RATIO = 3.5;
+const BROKEN_CONNECTION_LOG_RATIO = 2.2;
+
+// Increase of the deviation that a VM reports which counts as new evidence rather than as a repeated report.
+const MIN_NEW_EVIDENCE = 0.5;
 
 // Weight of the lateness of a success: one that takes longer than nearly all others is evidence of a gray failure.
 const LATE_SUCCESS_WEIGHT = 0.8;
@@ -47,6 +61,14 @@
 
   private readonly peers = new Map<string, PeerEvidence>();
 
+  // Time until which a gray failure is assumed to last, from the latest evidence of one.
+  private failureEndsAtMs = -Infinity;
+
+  private latestSuccessAtMs = -Infinity;
+
+  // Time of the latest new evidence of a gray failure from another VM.
+  private latestSuspicionAtMs = -Infinity;
+
   /** @param nowMs - Current time. */
   constructor(nowMs: number) {
     this.decayedAtMs = nowMs;
@@ -67,15 +89,17 @@
    * @param nowMs - Current time.
    */
   recordSuccess(survival: number, nowMs: number): void {
+    this.latestSuccessAtMs = nowMs;
     this.addLogRatio(SUCCESS_LOG_RATIO + LATE_SUCCESS_WEIGHT * GrayFailureEstimator.computeNoResponseLogRatio(survival), nowMs);
   }
 
   /**
-   * Records a failure of the instance or of the connection to it.
+   * Records a failure.
+   * @param failure - `server-error`: answer of the instance with an error; `broken-connection`: no complete answer.
    * @param nowMs - Current time.
    */
-  recordFailure(nowMs: number): void {
-    this.addLogRatio(FAILURE_LOG_RATIO, nowMs);
+  recordFailure(failure: 'server-error' | 'broken-connection', nowMs: number): void {
+    this.addLogRatio(failure === 'server-error' ? SERVER_ERROR_LOG_RATIO : BROKEN_CONNECTION_LOG_RATIO, nowMs);
   }
 
   /**
@@ -94,7 +118,10 @@
    * @param nowMs - Current time.
    */
   recordPeerEvidence(peer: string, deviation: number, nowMs: number): void {
-    this.peers.set(peer, { deviation: Math.max(MIN_PEER_DEVIATION, Math.min(MAX_PEER_DEVIATION, deviation)), atMs: nowMs });
+    const previous = this.peers.get(peer);
+    const bounded = Math.max(MIN_PEER_DEVIATION, Math.min(MAX_PEER_DEVIATION, deviation));
+    if (bounded - Math.max(0, previous?.deviation ?? 0) >= MIN_NEW_EVIDENCE) this.latestSuspicionAtMs = nowMs;
+    this.peers.set(peer, { deviation: bounded, atMs: nowMs });
   }
 
   /**
@@ -113,7 +140,12 @@
    * @param nowMs - Current time.
    */
   estimateFailureProbability(noResponseLogRatio: number, nowMs: number): number {
-    const logOdds = PRIOR_LOG_ODDS + this.computeDeviation(noResponseLogRatio, nowMs) + this.sumPeerDeviations(nowMs);
+    const own = this.computeDeviation(noResponseLogRatio, nowMs);
+    const peers = this.sumPeerDeviations(nowMs);
+    // A gray failure begins suddenly, so a success before another VM found one says nothing about the time since. Without this, each VM
+    // would lose a request of its own before it believes the others.
+    const current = peers > 0 && this.latestSuspicionAtMs >= this.latestSuccessAtMs ? Math.max(0, own) : own;
+    const logOdds = PRIOR_LOG_ODDS + current + peers;
     const grayProbability = 1 / (1 + Math.exp(-logOdds));
     return grayProbability * GRAY_FAILURE_SHARE + (1 - grayProbability) * HEALTHY_FAILURE_SHARE;
   }
@@ -122,20 +154,26 @@
     let sum = 0;
     this.peers.forEach((evidence, peer) => {
       const ageMs = nowMs - evidence.atMs;
-      if (ageMs > 2 * DECAY_MS) this.peers.delete(peer);
-      sum += evidence.deviation * Math.exp(-ageMs / DECAY_MS);
+      if (ageMs > 2 * PEER_DECAY_MS) this.peers.delete(peer);
+      sum += evidence.deviation * Math.exp(-ageMs / PEER_DECAY_MS);
     });
     return Math.max(MIN_PEER_DEVIATION, Math.min(MAX_TOTAL_PEER_DEVIATION, sum));
   }
 
   private addLogRatio(logRatio: number, nowMs: number): void {
     this.applyDecay(nowMs);
+    if (logRatio > 0) this.failureEndsAtMs = nowMs + FAILURE_SPAN_MS;
     this.logOdds = Math.max(MIN_LOG_ODDS, Math.min(MAX_LOG_ODDS, this.logOdds + logRatio));
   }
 
   private applyDecay(nowMs: number): void {
-    const remainingShare = Math.exp((this.decayedAtMs - nowMs) / DECAY_MS);
-    this.logOdds = PRIOR_LOG_ODDS + (this.logOdds - PRIOR_LOG_ODDS) * remainingShare;
+    if (this.logOdds <= PRIOR_LOG_ODDS) {
+      this.logOdds = PRIOR_LOG_ODDS + (this.logOdds - PRIOR_LOG_ODDS) * Math.exp((this.decayedAtMs - nowMs) / SUCCESS_DECAY_MS);
+    } else if (nowMs > this.failureEndsAtMs) {
+      const remainingShare = Math.exp((Math.max(this.decayedAtMs, this.failureEndsAtMs) - nowMs) / FAILURE_DECAY_MS);
+      const probability = PRIOR_PROBABILITY + (1 / (1 + Math.exp(-this.logOdds)) - PRIOR_PROBABILITY) * remainingShare;
+      this.logOdds = Math.log(probability / (1 - probability));
+    }
     this.decayedAtMs = nowMs;
   }
 }
--- a/packages/gateway/src/upstreams/PlacementPolicy.ts
+++ b/packages/gateway/src/upstreams/PlacementPolicy.ts
@@ -7,7 +7,7 @@
   readonly distance: 'same-place' | 'other-place';
   /** Whether it is warming up after its start. */
   readonly condition: 'warm' | 'warming';
-  /** Time since this VM last sent it a request, in milliseconds. */
+  /** Time since a VM is known to have sent it a request, in milliseconds. */
   readonly idleMs: number;
 }
 
--- a/packages/gateway/src/upstreams/PooledInstance.ts
+++ b/packages/gateway/src/upstreams/PooledInstance.ts
@@ -34,7 +34,8 @@
 
   private loadReportedAtMs = -Infinity;
 
-  private lastSentAtMs: number;
+  // Time at which a VM is known to have sent it a request last.
+  private lastUsedAtMs: number;
 
   private warmupEndsAtMs: number;
 
@@ -45,7 +46,7 @@
   constructor(private record: instanceRecord.InstanceRecord, nowMs: number) {
     this.warmupEndsAtMs = nowMs + record.warmupMs;
     this.estimator = new grayFailureEstimator.GrayFailureEstimator(nowMs);
-    this.lastSentAtMs = nowMs;
+    this.lastUsedAtMs = nowMs;
   }
 
   /** Gets the published record of the instance. */
@@ -75,7 +76,7 @@
    */
   beginAttempt(attemptId: string, nowMs: number, durations: durationSamples.DurationSamples): void {
     this.inFlight.set(attemptId, { sentAtMs: nowMs, durations });
-    this.lastSentAtMs = nowMs;
+    this.lastUsedAtMs = nowMs;
   }
 
   /**
@@ -92,7 +93,7 @@
     const survival = attempt.durations.estimateSurvival(nowMs - attempt.sentAtMs);
     switch (ending.type) {
       case 'answered':
-        if (ending.answer.status >= 500) this.estimator.recordFailure(nowMs);
+        if (ending.answer.status >= 500) this.estimator.recordFailure('server-error', nowMs);
         else {
           this.estimator.recordSuccess(survival, nowMs);
           attempt.durations.record(nowMs - attempt.sentAtMs);
@@ -104,7 +105,7 @@
         this.estimator.recordNoResponse(survival, nowMs);
         break;
       default:
-        this.estimator.recordFailure(nowMs);
+        this.estimator.recordFailure('broken-connection', nowMs);
         break;
     }
   }
@@ -117,8 +118,10 @@
    */
   recordPeerEvidence(peer: string, evidence: Pick<instanceEvidence.InstanceEvidence, 'deviation' | 'inFlight'>, nowMs: number): void {
     this.estimator.recordPeerEvidence(peer, evidence.deviation, nowMs);
-    if (evidence.inFlight > 0) this.peerLoads.set(peer, { inFlight: evidence.inFlight, atMs: nowMs });
-    else this.peerLoads.delete(peer);
+    if (evidence.inFlight > 0) {
+      this.peerLoads.set(peer, { inFlight: evidence.inFlight, atMs: nowMs });
+      this.lastUsedAtMs = nowMs;
+    } else this.peerLoads.delete(peer);
   }
 
   /**
@@ -160,11 +163,11 @@
   }
 
   /**
-   * Computes the time since this VM last sent a request to the instance, or since the instance was added, in milliseconds.
+   * Computes the time since a VM is known to have sent a request to the instance, or since the instance was added, in milliseconds.
    * @param nowMs - Current time.
    */
   computeIdleMs(nowMs: number): number {
-    return nowMs - this.lastSentAtMs;
+    return nowMs - this.lastUsedAtMs;
   }
 
   private sumPeerLoads(nowMs: number): number {
--- a/packages/gateway/test/LoadPattern.ts
+++ b/packages/gateway/test/LoadPattern.ts
@@ -19,8 +19,16 @@
   readonly vmsPerPlace: number;
   readonly services: readonly { readonly name: string; readonly instances: number; readonly slots: number }[];
   readonly routes: readonly LoadRoute[];
-  /** Gray failures. In each span, a share of the instances has one and leaves `unansweredShare` of its requests unanswered. */
-  readonly gray: { readonly share: number; readonly spanMs: number; readonly unansweredShare: number };
+  /**
+   * Gray failures. In each span, a share of the instances has one. It fails `affectedShare` of its requests: `unanswered` ones get no
+   * response, `errors` get a server error at once.
+   */
+  readonly gray: {
+    readonly share: number;
+    readonly spanMs: number;
+    readonly affectedShare: number;
+    readonly failure: 'unanswered' | 'errors';
+  };
   /** Time during which the rate of the requests is multiplied by `factor`. */
   readonly burst?: { readonly fromMs: number; readonly toMs: number; readonly factor: number };
   /** Share of the instances that take `factor` times as long for some time. */
--- a/packages/gateway/test/LoadReplay.test.ts
+++ b/packages/gateway/test/LoadReplay.test.ts
@@ -21,6 +21,10 @@
 // Greatest difference of the shares by which a more urgent route may be served worse than a less urgent one.
 const RANK_TOLERANCE = 0.05;
 
+// Requests that may be lost to one gray failure on average, and the share to be served while instances fail at once.
+const MAX_LOST_PER_SPELL = 3;
+const TARGET_SERVED_FAIL_FAST = 0.975;
+
 // Smallest share of the healthy instances that must receive requests.
 const MIN_USED_SHARE = 0.7;
 
@@ -48,6 +52,20 @@
     vitest.expect(served.reduce((sum, share) => sum + share, 0) / SEEDS.length).toBeGreaterThanOrEqual(TARGET_SERVED);
   });
 
+  vitest.it.each([
+    ['fail-fast', loadPatterns.FAIL_FAST], ['large-fail-fast', loadPatterns.LARGE_FAIL_FAST],
+  ] as const)('loses few requests to an instance that begins to fail at once, although it always has free slots (%s)', (_, pattern) => {
+    const lost = SEEDS.map((seed) => replayPattern(pattern, seed).computeFailedFastPerSpell());
+    vitest.expect(lost.reduce((sum, count) => sum + count, 0) / SEEDS.length).toBeLessThanOrEqual(MAX_LOST_PER_SPELL);
+  });
+
+  vitest.it('serves all but the failures of sound instances and a few of each spell while instances fail at once', () => {
+    const results = SEEDS.flatMap((seed) => [...replayPattern(loadPatterns.FAIL_FAST, seed).results.values()]);
+    const served = results.reduce((sum, result) => sum + result.onTime + result.late, 0)
+      / results.reduce((sum, result) => sum + result.requests, 0);
+    vitest.expect(served).toBeGreaterThanOrEqual(TARGET_SERVED_FAIL_FAST);
+  });
+
   vitest.it('gives requests to most of the sound instances of a large service within two seconds', () => {
     SEEDS.forEach((seed) => vitest.expect(replayPattern(loadPatterns.LARGE, seed).minUsedShare).toBeGreaterThanOrEqual(MIN_USED_SHARE));
   });
--- a/packages/gateway/test/LoadReplay.ts
+++ b/packages/gateway/test/LoadReplay.ts
@@ -92,6 +92,13 @@
     return sum((result) => result.onTime + result.late / 2) / Math.max(1, sum((result) => result.requests));
   }
 
+  /** Computes the mean number of requests that an instance failed at once in one gray failure. */
+  computeFailedFastPerSpell(): number {
+    const instances = [...this.instances.values()];
+    return instances.reduce((sum, instance) => sum + instance.failedFast, 0)
+      / Math.max(1, instances.reduce((sum, instance) => sum + instance.countGraySpells(), 0));
+  }
+
   private startInstances(seed: number): void {
     this.pattern.services.forEach((service) => Array.from({ length: service.instances }, (_, index) => {
       const id = `${service.name}-${index}`;
--- a/packages/gateway/test/SimulatedInstance.ts
+++ b/packages/gateway/test/SimulatedInstance.ts
@@ -12,6 +12,9 @@
 // Share of the requests that are answered with a server error.
 const FAILURE_SHARE = 0.012;
 
+// Time after which an instance with a gray failure answers with an error.
+const FAST_FAILURE_MS = 1;
+
 interface Work {
   readonly key: string;
   readonly workMs: number;
@@ -34,6 +37,9 @@
   /** Time at which it last received a request. */
   usedAtMs = -Infinity;
 
+  /** Requests that it failed at once during gray failures. */
+  failedFast = 0;
+
   private waiting: Work[] = [];
 
   // State in each span, drawn at the start so that the gray failures of a seed do not depend on the decisions of the VMs.
@@ -82,13 +88,16 @@
 
   private start(work: Work): void {
     const { timers, random, pattern } = this.options;
-    if (this.isGray() && random.drawFraction() < pattern.gray.unansweredShare) {
+    const isAffected = this.isGray() && random.drawFraction() < pattern.gray.affectedShare;
+    if (isAffected && pattern.gray.failure === 'unanswered') {
       this.running.set(work.key, undefined);
       return;
     }
     const normal = Math.sqrt(-2 * Math.log(1 - random.drawFraction())) * Math.cos(2 * Math.PI * random.drawFraction());
-    const delayMs = work.workMs * Math.exp(WORK_SPREAD * normal - (WORK_SPREAD ** 2) / 2) * this.computeSlowFactor();
-    const status = random.drawFraction() < FAILURE_SHARE ? 500 : 200;
+    const workedMs = work.workMs * Math.exp(WORK_SPREAD * normal - (WORK_SPREAD ** 2) / 2) * this.computeSlowFactor();
+    const status = isAffected || random.drawFraction() < FAILURE_SHARE ? 500 : 200;
+    const delayMs = isAffected ? FAST_FAILURE_MS : workedMs;
+    if (isAffected) this.failedFast += 1;
     this.running.set(work.key, timers.subscribe({
       mailbox: {
         post: () => {
@@ -126,6 +135,13 @@
     return !this.isGray() && !this.isGray(spanMs);
   }
 
+  /** Counts its gray failures until now. */
+  countGraySpells(): number {
+    const { spanMs } = this.options.pattern.gray;
+    const current = Math.floor(this.options.timers.getNowMs() / spanMs + this.phase);
+    return this.spans.slice(0, current + 1).filter((state, index, all) => state === 'gray' && all[index - 1] !== 'gray').length;
+  }
+
   private isShedding(): boolean {
     const { shed } = this.options.pattern;
     const nowMs = this.options.timers.getNowMs();
--- a/packages/gateway/test/loadPatterns.ts
+++ b/packages/gateway/test/loadPatterns.ts
@@ -1,6 +1,8 @@
 import type * as loadPattern from './LoadPattern.js';
 
-const GRAY = { share: 0.3, spanMs: 9_000, unansweredShare: 0.75 };
+const GRAY = {
+  share: 0.3, spanMs: 9_000, affectedShare: 0.75, failure: 'unanswered',
+} as const;
 
 /** Orders, lookups and charges that occupy a third of the slots, with gray failures all the time. */
 export const MODERATE: loadPattern.LoadPattern = {
@@ -79,3 +81,29 @@
   services: [{ name: 's1', instances: 168, slots: 4 }, { name: 's2', instances: 48, slots: 4 }],
   routes: MODERATE.routes.map((route) => ({ ...route, perSecond: route.perSecond * 7 })),
 };
+
+/** Instances that fail most requests at once, in spells of five seconds, and mostly requests that cannot be repeated. */
+export const FAIL_FAST: loadPattern.LoadPattern = {
+  lengthMs: 30_000,
+  vmsPerPlace: 2,
+  services: [{ name: 's1', instances: 17, slots: 3 }, { name: 's2', instances: 6, slots: 3 }],
+  routes: [
+    {
+      name: 'confirm', service: 's1', kind: 'non-idempotent', perSecond: 67, workMs: 240, objectiveMs: 800, deadlineMs: 6_000, rank: 0,
+    },
+    {
+      name: 'status', service: 's2', kind: 'idempotent', perSecond: 19, workMs: 320, objectiveMs: 800, deadlineMs: 4_000, rank: 1,
+    },
+  ],
+  gray: {
+    share: 0.1, spanMs: 5_000, affectedShare: 0.7, failure: 'errors',
+  },
+};
+
+/** As `FAIL_FAST`, with five times as many instances and requests, and a fifth of the instances failing at any time. */
+export const LARGE_FAIL_FAST: loadPattern.LoadPattern = {
+  ...FAIL_FAST,
+  services: [{ name: 's1', instances: 78, slots: 3 }, { name: 's2', instances: 28, slots: 3 }],
+  routes: FAIL_FAST.routes.map((route) => ({ ...route, perSecond: route.perSecond * 4.6 })),
+  gray: { ...FAIL_FAST.gray, share: 0.2 },
+};
--- a/packages/gateway/test/upstreams/GrayFailureEstimator.test.ts
+++ b/packages/gateway/test/upstreams/GrayFailureEstimator.test.ts
@@ -14,10 +14,35 @@
   vitest.it('does not estimate a high failure probability after a single failure among successes', () => {
     const estimate = new gateway.upstreams.GrayFailureEstimator(0);
     [1, 2, 3].forEach(() => estimate.recordSuccess(0.8, 0));
-    estimate.recordFailure(0);
+    estimate.recordFailure('server-error', 0);
     vitest.expect(estimate.estimateFailureProbability(0, 0)).toBeLessThan(0.4);
   });
 
+  vitest.it('believes a failure that another VM found over its own earlier successes, and its own later success over the failure', () => {
+    const estimate = new gateway.upstreams.GrayFailureEstimator(0);
+    [1, 2, 3].forEach(() => estimate.recordSuccess(0.8, 0));
+    estimate.recordPeerEvidence('vm1', 1.5, 100);
+    const suspected = estimate.estimateFailureProbability(0, 101);
+    vitest.expect(suspected).toBeGreaterThan(0.2);
+    estimate.recordSuccess(0.8, 400);
+    vitest.expect(estimate.estimateFailureProbability(0, 401)).toBeLessThan(suspected / 3);
+  });
+
+  vitest.it('does not count a repeated report of another VM as new evidence', () => {
+    const estimate = new gateway.upstreams.GrayFailureEstimator(0);
+    estimate.recordPeerEvidence('vm1', 1.5, 0);
+    [1, 2, 3].forEach(() => estimate.recordSuccess(0.8, 100));
+    estimate.recordPeerEvidence('vm1', 1.6, 200);
+    vitest.expect(estimate.estimateFailureProbability(0, 201)).toBeLessThan(0.1);
+  });
+
+  vitest.it('gives an instance that has recovered another chance after the usual length of a gray failure', () => {
+    const estimate = new gateway.upstreams.GrayFailureEstimator(0);
+    [1, 2, 3].forEach(() => estimate.recordFailure('server-error', 0));
+    vitest.expect(estimate.estimateFailureProbability(0, 4_900)).toBeGreaterThan(0.6);
+    vitest.expect(estimate.estimateFailureProbability(0, 10_000)).toBeLessThan(0.2);
+  });
+
   vitest.it('counts very late answers as evidence of a gray failure', () => {
     const estimate = new gateway.upstreams.GrayFailureEstimator(0);
     [1, 2].forEach(() => estimate.recordSuccess(0.005, 0));
