Compare a bounded number of instances for a request, and use recovered instances while a service is served poorly

Cause: each request evaluated every instance of its service with an exponential for each VM that had sent evidence, each ended attempt did so again for every waiting request, and the evidence of all instances was computed every 75 ms; the cost of a decision grew with the service and with the queue. A retry of an idempotent request could explore another idle instance.

Change: the evaluation of an instance is kept for 40 ms or until an event; at most 256 instances are compared; one failed choice stands for all waiting requests of its kind and urgency; evidence is computed for used instances only, and forgotten when it is neutral, so that the timer stops also after an instance was removed. While a service is served poorly and fewer than 0.78 of the instances without a recent failure are used, those that were idle for a second are tried, by idempotent requests if there are any. Retries use proven placement.

--- a/packages/gateway/src/callers/RoutedRequestTask.ts
+++ b/packages/gateway/src/callers/RoutedRequestTask.ts
@@ -5,6 +5,8 @@
 import type * as attemptEnding from '../upstreams/AttemptEnding.js';
 import * as evidenceGossip from '../upstreams/EvidenceGossip.js';
 import type * as instanceRecord from '../upstreams/InstanceRecord.js';
+import type * as pooledInstance from '../upstreams/PooledInstance.js';
+import type * as servicePool from '../upstreams/ServicePool.js';
 import * as admissionPolicy from './AdmissionPolicy.js';
 import * as startupHoldQueue from './StartupHoldQueue.js';
 import type * as gatewayOutput from './GatewayOutput.js';
@@ -187,9 +189,10 @@
     });
     const serviceEntry = this.services.getService(service);
     serviceEntry.budget.addRequest(nowMs);
+    serviceEntry.outcomes.recordArrival(found.kind, nowMs);
     this.requests.set(arrival.requestId, request);
     this.subscribe(request, 'deadline-reached', Math.max(0, request.computeRemainingMs(nowMs)));
-    if (serviceEntry.queue.countBefore(request) === 0 && this.sendAttempt(request, serviceEntry)) return;
+    if (serviceEntry.queue.countServedBefore(request) === 0 && this.sendAttempt(request, serviceEntry)) return;
     this.enqueueRequest(request, serviceEntry);
   }
 
@@ -207,7 +210,7 @@
   }
 
   private enqueueRequest(request: routedRequest.RoutedRequest, serviceEntry: routedService.RoutedService): void {
-    if (this.decideWaiting(request, serviceEntry) === 'refuse') {
+    if (this.decideWaiting(request, serviceEntry, serviceEntry.queue.countServedBefore(request)) === 'refuse') {
       this.refuse(request, serviceEntry.pool.countSlots() === 0 ? 'no-instance' : 'overloaded');
       return;
     }
@@ -217,18 +220,32 @@
   }
 
   // A critical request that no instance can queue is refused now; otherwise it would wait longer and probably still be refused.
-  private decideWaiting(request: routedRequest.RoutedRequest, serviceEntry: routedService.RoutedService): 'wait' | 'refuse' {
+  private decideWaiting(
+    request: routedRequest.RoutedRequest,
+    serviceEntry: routedService.RoutedService,
+    requestsAhead: number,
+  ): 'wait' | 'refuse' {
     const nowMs = this.options.timers.getNowMs();
-    const { arrival, route } = request.options;
-    if (urgencyPolicy.UrgencyPolicy.computeUrgency(nowMs - arrival.arrivedAtMs, route.objectiveMs) === 'critical') return 'refuse';
-    return this.admission.decide(this.buildLoad(request, serviceEntry), request.computeRemainingMs(nowMs));
+    if (RoutedRequestTask.computeUrgency(request, nowMs) === 'critical') return 'refuse';
+    return this.admission.decide(this.buildLoad(request, serviceEntry, requestsAhead), request.computeRemainingMs(nowMs));
   }
 
+  // Sends waiting requests in their order. If no instance is acceptable for one of them, none is for the later ones of the same kind and
+  // urgency, so that the cost does not grow with the number of requests times the number of instances.
   private serveQueue(serviceEntry: routedService.RoutedService): void {
-    if (serviceEntry.queue.countWaiting() === 0) return;
+    const nowMs = this.options.timers.getNowMs();
+    const unserved = new Set<string>();
+    let requestsAhead = 0;
     serviceEntry.queue.listWaiting().forEach((request) => {
-      if (this.sendAttempt(request, serviceEntry)) serviceEntry.queue.remove(request);
-      else if (this.decideWaiting(request, serviceEntry) === 'refuse') {
+      const group = `${request.options.route.kind} ${RoutedRequestTask.computeUrgency(request, nowMs)}`;
+      if (!unserved.has(group) && this.sendAttempt(request, serviceEntry)) {
+        serviceEntry.queue.remove(request);
+        return;
+      }
+      // The instances that were tried before are not acceptable for this request only.
+      if (request.attempts.length === 0) unserved.add(group);
+      if (this.decideWaiting(request, serviceEntry, requestsAhead) === 'wait') requestsAhead += 1;
+      else {
         serviceEntry.queue.remove(request);
         this.refuse(request, 'overloaded');
       }
@@ -236,12 +253,36 @@
     if (serviceEntry.queue.countWaiting() > 0) this.startQueueTimer();
   }
 
+  private static computeUrgency(request: routedRequest.RoutedRequest, nowMs: number): servicePool.RequestUrgency {
+    const { arrival, route } = request.options;
+    return urgencyPolicy.UrgencyPolicy.computeUrgency(nowMs - arrival.arrivedAtMs, route.objectiveMs);
+  }
+
+  private static chooseInstance(
+    request: routedRequest.RoutedRequest,
+    serviceEntry: routedService.RoutedService,
+    nowMs: number,
+    urgency: servicePool.RequestUrgency,
+  ): pooledInstance.PooledInstance | undefined {
+    const { kind } = request.options.route;
+    const condition = serviceEntry.outcomes.evaluateCondition(kind, nowMs);
+    return serviceEntry.pool.chooseInstance(kind, request.listTriedInstances(), nowMs, urgency, condition);
+  }
+
   private sendAttempt(request: routedRequest.RoutedRequest, serviceEntry: routedService.RoutedService): boolean {
+    const nowMs = this.options.timers.getNowMs();
+    const chosen = RoutedRequestTask.chooseInstance(request, serviceEntry, nowMs, RoutedRequestTask.computeUrgency(request, nowMs));
+    if (chosen !== undefined) this.sendTo(chosen, request, serviceEntry);
+    return chosen !== undefined;
+  }
+
+  private sendTo(
+    chosen: pooledInstance.PooledInstance,
+    request: routedRequest.RoutedRequest,
+    serviceEntry: routedService.RoutedService,
+  ): void {
     const { options } = request;
     const nowMs = this.options.timers.getNowMs();
-    const urgency = urgencyPolicy.UrgencyPolicy.computeUrgency(nowMs - options.arrival.arrivedAtMs, options.route.objectiveMs);
-    const chosen = serviceEntry.pool.chooseInstance(options.route.kind, request.listTriedInstances(), nowMs, urgency);
-    if (chosen === undefined) return false;
     this.nextAttempt += 1;
     const attemptId = String(this.nextAttempt);
     request.attempts.push({
@@ -253,6 +294,7 @@
       mailbox: this, message: { type: 'gossip-due' as const }, delayMs: GOSSIP_INTERVAL_MS,
     });
     chosen.beginAttempt(attemptId, nowMs, options.durations);
+    this.services.recordUse(chosen);
     this.options.outbox.post({
       type: 'send-attempt',
       attemptId,
@@ -264,7 +306,6 @@
     if (options.route.kind === 'idempotent' && request.countSent() < options.route.maxAttempts) {
       this.subscribe(request, 'hedge-due', Math.max(MIN_HEDGE_MS, options.durations.estimateQuantile(HEDGE_QUANTILE)));
     }
-    return true;
   }
 
   private handleHedge(requestId: string): void {
@@ -336,9 +377,12 @@
     if (request.countSent() >= route.maxAttempts || request.attempts.length >= MAX_TOTAL_ATTEMPTS) return false;
     if (request.computeRemainingMs(nowMs) < durations.estimateQuantile(SERVICE_TIME_QUANTILE)) return false;
     const serviceEntry = this.services.getService(service);
-    return serviceEntry.pool.chooseInstance(route.kind, request.listTriedInstances(), nowMs) !== undefined
-      && serviceEntry.budget.take(nowMs)
-      && this.sendAttempt(request, serviceEntry);
+    // A retry takes no place in a queue of an instance before the requests that wait for their first attempt.
+    const urgency = serviceEntry.queue.countWaiting() > 0 ? 'normal' : RoutedRequestTask.computeUrgency(request, nowMs);
+    const chosen = RoutedRequestTask.chooseInstance(request, serviceEntry, nowMs, urgency);
+    if (chosen === undefined || !serviceEntry.budget.take(nowMs)) return false;
+    this.sendTo(chosen, request, serviceEntry);
+    return true;
   }
 
   private handleDeadline(requestId: string): void {
@@ -362,14 +406,21 @@
 
   private answer(request: routedRequest.RoutedRequest, answer: attemptEnding.InstanceAnswer): void {
     this.reporter.answer(request, answer);
+    this.recordOutcome(request, answer.status < 500 ? 'served' : 'unserved');
     this.endRequest(request);
   }
 
   private refuse(request: routedRequest.RoutedRequest, reason: requestArrival.RefusalReason): void {
-    this.reporter.refuse(request, reason, this.buildLoad(request, this.services.getService(request.options.service)));
+    const serviceEntry = this.services.getService(request.options.service);
+    this.reporter.refuse(request, reason, this.buildLoad(request, serviceEntry, serviceEntry.queue.countServedBefore(request)));
+    this.recordOutcome(request, 'unserved');
     this.endRequest(request);
   }
 
+  private recordOutcome(request: routedRequest.RoutedRequest, outcome: 'served' | 'unserved'): void {
+    this.services.getService(request.options.service).outcomes.record(outcome, this.options.timers.getNowMs());
+  }
+
   private endRequest(request: routedRequest.RoutedRequest): void {
     if (request.state === 'waiting') this.services.getService(request.options.service).queue.remove(request);
     request.state = 'ended';
@@ -400,16 +451,21 @@
   private publishEvidence(): void {
     const nowMs = this.options.timers.getNowMs();
     const selected = this.gossip.selectEvidence(this.services.listEvidence(nowMs), nowMs);
+    this.services.releaseUnused((instance) => this.gossip.hasReported(instance));
     if (selected.length > 0) this.options.outbox.post({ type: 'evidence-found', rows: selected });
-    if (this.attempts.size > 0 || this.gossip.hasReported()) {
+    if (this.attempts.size > 0 || this.services.countUsed() > 0) {
       this.gossipTimer ??= this.options.timers.subscribe({ mailbox: this, message: { type: 'gossip-due' as const }, delayMs: GOSSIP_INTERVAL_MS });
     }
   }
 
-  private buildLoad(request: routedRequest.RoutedRequest, serviceEntry: routedService.RoutedService): admissionPolicy.ServiceLoad {
+  private buildLoad(
+    request: routedRequest.RoutedRequest,
+    serviceEntry: routedService.RoutedService,
+    requestsAhead: number,
+  ): admissionPolicy.ServiceLoad {
     return {
       slots: serviceEntry.pool.countSlots(),
-      requestsAhead: serviceEntry.queue.countBefore(request),
+      requestsAhead,
       slotReleaseIntervalMs: serviceEntry.slotReleaseRate.estimateIntervalMs(this.options.timers.getNowMs()),
       serviceMs: request.options.durations.estimateQuantile(SERVICE_TIME_QUANTILE),
     };
--- a/packages/gateway/src/callers/RoutedService.ts
+++ b/packages/gateway/src/callers/RoutedService.ts
@@ -1,6 +1,7 @@
 import * as servicePool from '../upstreams/ServicePool.js';
 import * as slotReleaseRate from './SlotReleaseRate.js';
 import * as retryBudget from './RetryBudget.js';
+import * as serviceOutcomes from './ServiceOutcomes.js';
 import * as waitQueue from './WaitQueue.js';
 
 /** Options of a `RoutedService`. */
@@ -17,6 +18,8 @@
 
   readonly budget: retryBudget.RetryBudget;
 
+  readonly outcomes = new serviceOutcomes.ServiceOutcomes();
+
   readonly slotReleaseRate = new slotReleaseRate.SlotReleaseRate();
 
   /** Number of connections that one instance accepts from all VMs together. */
--- a/packages/gateway/src/callers/ServiceTable.ts
+++ b/packages/gateway/src/callers/ServiceTable.ts
@@ -3,6 +3,7 @@
 import type * as configuration from '../contracts/Configuration.js';
 import type * as instanceEvidence from '../upstreams/InstanceEvidence.js';
 import type * as instanceRecord from '../upstreams/InstanceRecord.js';
+import type * as pooledInstance from '../upstreams/PooledInstance.js';
 import type * as retryBudget from './RetryBudget.js';
 import * as routedService from './RoutedService.js';
 
@@ -19,6 +20,9 @@
 export class ServiceTable {
   private readonly entries = new Map<string, routedService.RoutedService>();
 
+  // Instances that this VM has used and about which it may have evidence.
+  private readonly used = new Set<pooledInstance.PooledInstance>();
+
   private budget: retryBudget.RetryBudgetOptions;
 
   /** @param options - Place of the VM, random source and retry budget. */
@@ -90,15 +94,38 @@
   }
 
   /**
-   * Lists the evidence about all instances, from the requests of this VM only.
+   * Records that this VM has sent a request to an instance, so that there is evidence about it.
+   * @param instance - Instance that a request was sent to.
+   */
+  recordUse(instance: pooledInstance.PooledInstance): void {
+    this.used.add(instance);
+  }
+
+  /**
+   * Lists the evidence about the used instances, from the requests of this VM only.
    * @param nowMs - Current time.
    */
   listEvidence(nowMs: number): instanceEvidence.InstanceEvidence[] {
-    return [...this.entries].flatMap(([service, entry]) => entry.pool.listInstances().map((instance) => ({
+    return [...this.used].map((instance) => ({
       instance: instance.getRecord().id,
-      service,
+      service: instance.getRecord().service,
       deviation: Number(instance.computeDeviation(nowMs).toFixed(2)),
       inFlight: instance.countInFlight(),
-    })));
+    }));
+  }
+
+  /** Counts the used instances about which there may be evidence that the other VMs need. */
+  countUsed(): number {
+    return this.used.size;
+  }
+
+  /**
+   * Forgets the used instances that have no request in flight and about which the other VMs need no evidence.
+   * @param isReported - Whether the other VMs hold relevant evidence about an instance, by its id.
+   */
+  releaseUnused(isReported: (instance: string) => boolean): void {
+    this.used.forEach((instance) => {
+      if (instance.countInFlight() === 0 && !isReported(instance.getRecord().id)) this.used.delete(instance);
+    });
   }
 }
--- a/packages/gateway/src/callers/WaitQueue.ts
+++ b/packages/gateway/src/callers/WaitQueue.ts
@@ -13,9 +13,7 @@
    * @param added - Request for which no instance has a free slot.
    */
   add(added: routedRequest.RoutedRequest): void {
-    const order = WaitQueue.computeOrder(added);
-    const position = this.waiting.findIndex((other) => WaitQueue.computeOrder(other) > order);
-    this.waiting.splice(position < 0 ? this.waiting.length : position, 0, added);
+    this.waiting.splice(this.countServedBefore(added), 0, added);
   }
 
   /**
@@ -38,12 +36,20 @@
   }
 
   /**
-   * Counts the requests that are served before a given one.
-   * @param candidate - Request that is in the queue or may be added to it.
+   * Counts the waiting requests that are served before one that is not in the queue.
+   * @param candidate - Request that may be added to the queue.
    */
-  countBefore(candidate: routedRequest.RoutedRequest): number {
+  countServedBefore(candidate: routedRequest.RoutedRequest): number {
     const order = WaitQueue.computeOrder(candidate);
-    return this.waiting.filter((other) => other !== candidate && WaitQueue.computeOrder(other) <= order).length;
+    // Binary search for the first request that is served after the candidate.
+    let low = 0;
+    let high = this.waiting.length;
+    while (low < high) {
+      const middle = Math.floor((low + high) / 2);
+      if (WaitQueue.computeOrder(this.waiting[middle]!) > order) high = middle;
+      else low = middle + 1;
+    }
+    return low;
   }
 
   private static computeOrder(request: routedRequest.RoutedRequest): number {
--- a/packages/gateway/src/upstreams/EvidenceGossip.ts
+++ b/packages/gateway/src/upstreams/EvidenceGossip.ts
@@ -16,14 +16,17 @@
 export class EvidenceGossip {
   private readonly reported = new Map<string, ReportedEvidence>();
 
-  /** Whether the other VMs still hold relevant evidence from this VM, so that it must be kept up to date. */
-  hasReported(): boolean {
-    return this.reported.size > 0;
+  /**
+   * Whether the other VMs still hold relevant evidence from this VM about an instance, so that it must be kept up to date.
+   * @param instance - Id of the instance.
+   */
+  hasReported(instance: string): boolean {
+    return this.reported.has(instance);
   }
 
   /**
    * Selects the evidence to send now.
-   * @param rows - Evidence about all instances, from the requests of this VM only.
+   * @param rows - Evidence from the requests of this VM only, about all instances that it has used.
    * @param nowMs - Current time.
    */
   selectEvidence(rows: readonly instanceEvidence.InstanceEvidence[], nowMs: number): instanceEvidence.InstanceEvidence[] {
--- a/packages/gateway/src/upstreams/ExploringPlacement.ts
+++ b/packages/gateway/src/upstreams/ExploringPlacement.ts
@@ -13,6 +13,8 @@
 
 /** Placement of idempotent requests, which also go to instances whose health is not well known. */
 export class ExploringPlacement extends placementPolicy.PlacementPolicy {
+  protected override readonly trialIdleMs = 1_000;
+
   protected override computeKindCost(candidate: placementPolicy.PlacementCandidate): number {
     const idleShare = Math.min(1, candidate.idleMs / FULL_REDUCTION_IDLE_MS);
     return FAILURE_WEIGHT * candidate.failure + LOAD_WEIGHT * candidate.load - MAX_IDLE_REDUCTION * idleShare;
--- a/packages/gateway/src/upstreams/GrayFailureEstimator.ts
+++ b/packages/gateway/src/upstreams/GrayFailureEstimator.ts
@@ -66,6 +66,9 @@
 
   private latestSuccessAtMs = -Infinity;
 
+  // Time of the latest evidence of a failure, from this VM or another one.
+  private latestFailureAtMs = -Infinity;
+
   // Time of the latest new evidence of a gray failure from another VM.
   private latestSuspicionAtMs = -Infinity;
 
@@ -120,7 +123,10 @@
   recordPeerEvidence(peer: string, deviation: number, nowMs: number): void {
     const previous = this.peers.get(peer);
     const bounded = Math.max(MIN_PEER_DEVIATION, Math.min(MAX_PEER_DEVIATION, deviation));
-    if (bounded - Math.max(0, previous?.deviation ?? 0) >= MIN_NEW_EVIDENCE) this.latestSuspicionAtMs = nowMs;
+    if (bounded - Math.max(0, previous?.deviation ?? 0) >= MIN_NEW_EVIDENCE) {
+      this.latestSuspicionAtMs = nowMs;
+      this.latestFailureAtMs = nowMs;
+    }
     this.peers.set(peer, { deviation: bounded, atMs: nowMs });
   }
 
@@ -150,6 +156,14 @@
     return grayProbability * GRAY_FAILURE_SHARE + (1 - grayProbability) * HEALTHY_FAILURE_SHARE;
   }
 
+  /**
+   * Computes the time since the latest evidence of a failure, from this VM or another one, in milliseconds.
+   * @param nowMs - Current time.
+   */
+  computeFailureAgeMs(nowMs: number): number {
+    return nowMs - this.latestFailureAtMs;
+  }
+
   private sumPeerDeviations(nowMs: number): number {
     let sum = 0;
     this.peers.forEach((evidence, peer) => {
@@ -162,7 +176,10 @@
 
   private addLogRatio(logRatio: number, nowMs: number): void {
     this.applyDecay(nowMs);
-    if (logRatio > 0) this.failureEndsAtMs = nowMs + FAILURE_SPAN_MS;
+    if (logRatio > 0) {
+      this.failureEndsAtMs = nowMs + FAILURE_SPAN_MS;
+      this.latestFailureAtMs = nowMs;
+    }
     this.logOdds = Math.max(MIN_LOG_ODDS, Math.min(MAX_LOG_ODDS, this.logOdds + logRatio));
   }
 
--- a/packages/gateway/src/upstreams/PooledInstance.ts
+++ b/packages/gateway/src/upstreams/PooledInstance.ts
@@ -10,6 +10,21 @@
 // VMs resend their number of requests in flight more often than this. The number is ignored if a VM has not done so for this time.
 const PEER_LOAD_LIFETIME_MS = 2_500;
 
+// Age at which an evaluation is computed again although nothing has happened at the instance: the evidence of requests in flight grows, and
+// other evidence decays, much more slowly than this.
+const EVALUATION_LIFETIME_MS = 40;
+
+/** Health and load of an instance, as far as this VM knows. */
+export interface InstanceEvaluation {
+  /** Probability that a request sent now gets no successful answer. */
+  readonly failure: number;
+  /** Number of requests at the instance, including those of other VMs. */
+  readonly load: number;
+}
+
+// Requests in flight are overdue if they have been without a response for longer than about half of the answers take.
+const MAX_OVERDUE_LOG_RATIO = 0.5;
+
 interface PeerLoad {
   readonly inFlight: number;
   readonly atMs: number;
@@ -39,6 +54,11 @@
 
   private warmupEndsAtMs: number;
 
+  // Latest evaluation and its time; the time is -Infinity after an event at the instance.
+  private evaluation: InstanceEvaluation = { failure: 0, load: 0 };
+
+  private evaluatedAtMs = -Infinity;
+
   /**
    * @param record - Published record of the instance.
    * @param nowMs - Current time.
@@ -61,6 +81,7 @@
    */
   update(record: instanceRecord.InstanceRecord, nowMs: number): void {
     const previous = this.record;
+    this.evaluatedAtMs = -Infinity;
     this.record = record;
     this.warmupEndsAtMs = nowMs + record.warmupMs;
     if (previous.startedAtMs === record.startedAtMs && previous.host === record.host && previous.port === record.port) return;
@@ -76,6 +97,7 @@
    */
   beginAttempt(attemptId: string, nowMs: number, durations: durationSamples.DurationSamples): void {
     this.inFlight.set(attemptId, { sentAtMs: nowMs, durations });
+    this.evaluatedAtMs = -Infinity;
     this.lastUsedAtMs = nowMs;
   }
 
@@ -89,6 +111,7 @@
     const attempt = this.inFlight.get(attemptId);
     if (attempt === undefined) return;
     this.inFlight.delete(attemptId);
+    this.evaluatedAtMs = -Infinity;
     if ((ending.type === 'answered' || ending.type === 'not-run') && ending.load !== undefined) this.recordLoad(ending.load, nowMs);
     const survival = attempt.durations.estimateSurvival(nowMs - attempt.sentAtMs);
     switch (ending.type) {
@@ -118,6 +141,7 @@
    */
   recordPeerEvidence(peer: string, evidence: Pick<instanceEvidence.InstanceEvidence, 'deviation' | 'inFlight'>, nowMs: number): void {
     this.estimator.recordPeerEvidence(peer, evidence.deviation, nowMs);
+    this.evaluatedAtMs = -Infinity;
     if (evidence.inFlight > 0) {
       this.peerLoads.set(peer, { inFlight: evidence.inFlight, atMs: nowMs });
       this.lastUsedAtMs = nowMs;
@@ -137,6 +161,17 @@
     return this.inFlight.size;
   }
 
+  /**
+   * Evaluates health and load. The result is kept for a short time, since each request compares many instances.
+   * @param nowMs - Current time.
+   */
+  evaluate(nowMs: number): InstanceEvaluation {
+    if (nowMs - this.evaluatedAtMs < EVALUATION_LIFETIME_MS) return this.evaluation;
+    this.evaluation = { failure: this.estimateFailureProbability(nowMs), load: this.estimateLoad(nowMs) };
+    this.evaluatedAtMs = nowMs;
+    return this.evaluation;
+  }
+
   /**
    * Estimates the number of requests at the instance, including those of other VMs.
    * @param nowMs - Current time.
@@ -170,6 +205,14 @@
     return nowMs - this.lastUsedAtMs;
   }
 
+  /**
+   * Computes the time since the latest evidence of a failure of the instance, in milliseconds; 0 while requests at it are overdue.
+   * @param nowMs - Current time.
+   */
+  computeFailureAgeMs(nowMs: number): number {
+    return this.sumNoResponseLogRatios(nowMs) > MAX_OVERDUE_LOG_RATIO ? 0 : this.estimator.computeFailureAgeMs(nowMs);
+  }
+
   private sumPeerLoads(nowMs: number): number {
     let sum = 0;
     // Without intermediate arrays, since this runs for each instance at each request.
--- a/packages/gateway/src/upstreams/ServicePool.ts
+++ b/packages/gateway/src/upstreams/ServicePool.ts
@@ -26,10 +26,20 @@
 // The same for critical requests, as a share of the slots.
 const MAX_QUEUED_SLOT_SHARE = 0.5;
 
-// Greatest share of the instances that may be excluded. The others continue to receive requests, however high their failure
+// Instances that are compared for one request. A larger service is compared in part, starting at a random instance, so that the cost of a
+// choice does not grow with the service; all instances are compared only if none of the part has free capacity.
+const MAX_COMPARED_INSTANCES = 256;
+
+// Greatest share of the compared instances that may be excluded. The others continue to receive requests, however high their failure
 // probability is.
 const MAX_EXCLUDED_SHARE = 0.3;
 
+// While a service is served poorly, the VMs together use at least this share of its instances without a failure in the given time: a little
+// more than the seven tenths that the users require of the sound ones, since the VMs know of each other's use with a delay.
+const SUFFICIENT_COVERAGE = 0.78;
+const COVERAGE_SPAN_MS = 2_000;
+const COVERAGE_LIFETIME_MS = 50;
+
 /** Options of a `ServicePool`. */
 export interface ServicePoolOptions {
   readonly service: string;
@@ -38,15 +48,27 @@
   readonly random: core.randomness.RandomSource;
 }
 
-interface EligibleInstance {
-  readonly instance: pooledInstance.PooledInstance;
-  readonly failure: number;
+interface InstanceQuery {
+  readonly kind: route.RequestKind;
+  readonly tried: readonly string[];
+  readonly nowMs: number;
+  readonly urgency: RequestUrgency;
+  readonly condition: placementPolicy.ServiceCondition;
 }
 
 /** Instances of one service, with the load and health that this VM has recorded for each. */
 export class ServicePool {
   private readonly instances = new Map<string, pooledInstance.PooledInstance>();
 
+  // Instances that accept new requests, and the number of their slots.
+  private ready: readonly pooledInstance.PooledInstance[] = [];
+
+  private slots = 0;
+
+  private coverage: 'sufficient' | 'insufficient' = 'sufficient';
+
+  private coveredAtMs = -Infinity;
+
   private readonly policies: Readonly<Record<route.RequestKind, placementPolicy.PlacementPolicy>> = {
     idempotent: new exploringPlacement.ExploringPlacement(),
     'non-idempotent': new provenPlacement.ProvenPlacement(),
@@ -68,12 +90,13 @@
       if (existing === undefined) this.instances.set(record.id, new pooledInstance.PooledInstance(record, nowMs));
       else if (existing.getRecord() !== record) existing.update(record, nowMs);
     });
+    this.ready = [...this.instances.values()].filter((instance) => instance.getRecord().state === 'ready');
+    this.slots = this.ready.reduce((sum, instance) => sum + instance.getRecord().slots, 0);
   }
 
   /** Counts the slots of the instances that accept new requests. */
   countSlots(): number {
-    return [...this.instances.values()]
-      .reduce((sum, instance) => sum + (ServicePool.isReady(instance) ? instance.getRecord().slots : 0), 0);
+    return this.slots;
   }
 
   /** Lists the instances. */
@@ -95,54 +118,91 @@
    * @param tried - Ids of the instances that were tried before for this request; they are not chosen.
    * @param nowMs - Current time.
    * @param urgency - Urgency of the request, which decides which instances are acceptable.
+   * @param condition - How well the service is served.
    */
   chooseInstance(
     kind: route.RequestKind,
     tried: readonly string[],
     nowMs: number,
     urgency: RequestUrgency = 'normal',
+    condition: placementPolicy.ServiceCondition = 'good',
   ): pooledInstance.PooledInstance | undefined {
-    const policy = this.policies[kind];
+    const compared = Math.min(this.ready.length, MAX_COMPARED_INSTANCES);
+    const first = compared < this.ready.length ? this.options.random.drawInteger(this.ready.length) : 0;
+    const query = {
+      kind, tried, nowMs, urgency, condition: condition !== 'good' && this.isCovered(nowMs) ? 'good' as const : condition,
+    };
+    const chosen = this.findCheapest(query, first, compared);
+    return chosen === undefined && compared < this.ready.length
+      ? this.findCheapest(query, first + compared, this.ready.length - compared)
+      : chosen;
+  }
+
+  private findCheapest(query: InstanceQuery, first: number, count: number): pooledInstance.PooledInstance | undefined {
+    const {
+      kind, tried, nowMs, urgency,
+    } = query;
+    // The first attempt of an idempotent request may explore; a retry goes to an instance that is known to answer.
+    const policy = this.policies[tried.length > 0 ? 'non-idempotent' : kind];
     // An idempotent request can be retried, so it is sent to instances that may fail as well.
-    const eligible = this.listEligible(kind === 'idempotent' && urgency === 'normal' ? 'urgent' : urgency, nowMs);
+    const excluded = kind === 'non-idempotent' && urgency === 'normal' ? this.listExcluded(query, first, count) : [];
     let best: pooledInstance.PooledInstance | undefined;
     let bestCost = Infinity;
     // Without intermediate arrays, since this runs for each request.
-    eligible.forEach(({ instance, failure }) => {
+    for (let index = first; index < first + count; index += 1) {
+      const instance = this.ready[index % this.ready.length]!;
       const record = instance.getRecord();
-      const load = instance.estimateLoad(nowMs) / record.slots;
+      const usedShare = instance.evaluate(nowMs).load / record.slots;
       const maxQueued = urgency === 'critical' ? Math.max(MAX_QUEUED_AT_INSTANCE, record.slots * MAX_QUEUED_SLOT_SHARE) : MAX_QUEUED_AT_INSTANCE;
       // An instance has free capacity while the rounded number of requests at it is below its slots and the permitted queue together.
-      if (load > 1 + (maxQueued - 0.5) / record.slots || tried.includes(record.id)) return;
-      // The random part decides between instances of equal cost.
-      const cost = policy.computeCost({
-        failure,
-        load,
-        distance: record.place === this.options.place ? 'same-place' : 'other-place',
-        condition: instance.isWarming(nowMs) ? 'warming' : 'warm',
-        idleMs: instance.computeIdleMs(nowMs),
-      }) + this.options.random.drawFraction() * 1e-4;
-      if (cost >= bestCost) return;
-      best = instance;
-      bestCost = cost;
-    });
+      const hasCapacity = usedShare <= 1 + (maxQueued - 0.5) / record.slots;
+      if (hasCapacity && !tried.includes(record.id) && !excluded.includes(instance)) {
+        // The random part decides between instances of equal cost.
+        const cost = policy.computeCost(this.buildCandidate(instance, nowMs), query.condition) + this.options.random.drawFraction() * 1e-4;
+        if (cost < bestCost) {
+          best = instance;
+          bestCost = cost;
+        }
+      }
+    }
     return best;
   }
 
-  // For a request of normal urgency, instances with a high failure probability are excluded, up to the permitted share.
-  private listEligible(urgency: RequestUrgency, nowMs: number): readonly EligibleInstance[] {
-    const ready: EligibleInstance[] = [];
-    this.instances.forEach((instance) => {
-      if (ServicePool.isReady(instance)) ready.push({ instance, failure: instance.estimateFailureProbability(nowMs) });
-    });
-    if (urgency !== 'normal' || ready.every(({ failure }) => failure <= MAX_NORMAL_FAILURE_PROBABILITY)) return ready;
-    const minKept = Math.ceil(ready.length * (1 - MAX_EXCLUDED_SHARE));
-    return ready
-      .sort((left, right) => left.failure - right.failure)
-      .filter(({ failure }, index) => index < minKept || failure <= MAX_NORMAL_FAILURE_PROBABILITY);
+  // Whether the VMs use enough of the instances that may be sound. The result is kept for a short time, since it concerns all instances.
+  private isCovered(nowMs: number): boolean {
+    if (nowMs - this.coveredAtMs < COVERAGE_LIFETIME_MS) return this.coverage === 'sufficient';
+    const candidates = this.ready.filter((instance) => instance.computeFailureAgeMs(nowMs) >= COVERAGE_SPAN_MS);
+    const used = candidates.filter((instance) => instance.computeIdleMs(nowMs) < COVERAGE_SPAN_MS).length;
+    this.coverage = used >= candidates.length * SUFFICIENT_COVERAGE ? 'sufficient' : 'insufficient';
+    this.coveredAtMs = nowMs;
+    return this.coverage === 'sufficient';
+  }
+
+  private buildCandidate(instance: pooledInstance.PooledInstance, nowMs: number): placementPolicy.PlacementCandidate {
+    const { failure, load } = instance.evaluate(nowMs);
+    const { slots, place } = instance.getRecord();
+    return {
+      failure,
+      load: load / slots,
+      distance: place === this.options.place ? 'same-place' : 'other-place',
+      condition: instance.isWarming(nowMs) ? 'warming' : 'warm',
+      idleMs: instance.computeIdleMs(nowMs),
+      failureAgeMs: instance.computeFailureAgeMs(nowMs),
+    };
   }
 
-  private static isReady(instance: pooledInstance.PooledInstance): boolean {
-    return instance.getRecord().state === 'ready';
+  // Lists the compared instances whose failure probability is high, up to the permitted share.
+  private listExcluded({ kind, nowMs, condition }: InstanceQuery, first: number, count: number): readonly pooledInstance.PooledInstance[] {
+    const suspects: pooledInstance.PooledInstance[] = [];
+    for (let index = first; index < first + count; index += 1) {
+      const instance = this.ready[index % this.ready.length]!;
+      if (
+        instance.evaluate(nowMs).failure > MAX_NORMAL_FAILURE_PROBABILITY
+        && !this.policies[kind].needsTrial(this.buildCandidate(instance, nowMs), condition)
+      ) suspects.push(instance);
+    }
+    const maxExcluded = Math.floor(count * MAX_EXCLUDED_SHARE);
+    if (suspects.length <= maxExcluded) return suspects;
+    return suspects.sort((left, right) => right.evaluate(nowMs).failure - left.evaluate(nowMs).failure).slice(0, maxExcluded);
   }
 }
--- a/packages/gateway/test/LoadReplay.test.ts
+++ b/packages/gateway/test/LoadReplay.test.ts
@@ -70,6 +70,15 @@
     SEEDS.forEach((seed) => vitest.expect(replayPattern(loadPatterns.LARGE, seed).minUsedShare).toBeGreaterThanOrEqual(MIN_USED_SHARE));
   });
 
+  // The rule of the users holds only while more than a tenth of the requests are not served.
+  vitest.it.each([
+    ['failing at once', loadPatterns.LARGE_POOR], ['unanswered requests', loadPatterns.LARGE_POOR_UNANSWERED],
+  ] as const)('gives requests to most of the sound instances whenever a large service is served poorly (%s)', (_, pattern) => {
+    const shares = SEEDS.map((seed) => replayPattern(pattern, seed).minUsedShareWhilePoor);
+    vitest.expect(shares.every((share) => share !== undefined)).toBe(true);
+    shares.forEach((share) => vitest.expect(share).toBeGreaterThanOrEqual(MIN_USED_SHARE));
+  });
+
   vitest.it.each([
     ['overload', loadPatterns.OVERLOAD], MOSTLY_GRAY,
   ] as const)('achieves more benefit if the VMs send each other their numbers of requests in flight (%s)', (_, pattern) => {
--- a/packages/gateway/test/LoadReplay.ts
+++ b/packages/gateway/test/LoadReplay.ts
@@ -15,6 +15,10 @@
 // Span within which most of the healthy instances must receive requests, as the rules of the users require.
 const USE_SPAN_MS = 2_000;
 
+// Shares of unserved requests between which the rule holds: below, nothing is missing; above, the service as a whole fails.
+const POOR_SHARE = 0.1;
+const FAILING_SHARE = 0.5;
+
 // Distance of the instance seeds of consecutive replay seeds; more than the instances of a pattern, so that no two seeds are equal.
 const SEED_SPACING = 1_000;
 
@@ -42,6 +46,12 @@
   /** Smallest share of the healthy instances of a service that received requests in a span of two seconds; the first span is ignored. */
   minUsedShare = 1;
 
+  /**
+   * The same, of the spans in which more than a tenth but less than half of the requests of the service were not served; undefined if there
+   * was none.
+   */
+  minUsedShareWhilePoor: number | undefined;
+
   /** Attempts beyond the first of each request. */
   retries = 0;
 
@@ -59,6 +69,8 @@
 
   private readonly attempts = new Map<string, SentAttempt>();
 
+  private readonly outcomes: { readonly service: string; readonly atMs: number; readonly result: 'served' | 'unserved' }[] = [];
+
   private requestCount = 0;
 
   /**
@@ -145,12 +157,20 @@
         const healthy = [...this.instances.values()]
           .filter((instance) => instance.options.record.service === name && instance.isHealthyFor(USE_SPAN_MS));
         const used = healthy.filter((instance) => instance.usedAtMs >= atMs - USE_SPAN_MS).length;
-        if (healthy.length > 0) this.minUsedShare = Math.min(this.minUsedShare, used / healthy.length);
+        if (healthy.length === 0) return;
+        this.minUsedShare = Math.min(this.minUsedShare, used / healthy.length);
+        if (this.isServedPoorly(name, atMs)) this.minUsedShareWhilePoor = Math.min(this.minUsedShareWhilePoor ?? 1, used / healthy.length);
       });
       this.scheduleUseCheck(atMs + USE_SPAN_MS / 4);
     });
   }
 
+  private isServedPoorly(service: string, atMs: number): boolean {
+    const recent = this.outcomes.filter((outcome) => outcome.service === service && outcome.atMs >= atMs - USE_SPAN_MS);
+    const unservedShare = recent.filter((outcome) => outcome.result === 'unserved').length / Math.max(1, recent.length);
+    return unservedShare > POOR_SHARE && unservedShare < FAILING_SHARE;
+  }
+
   private scheduleArrival(routeName: string): void {
     const route = this.pattern.routes.find((candidate) => candidate.name === routeName)!;
     const nowMs = this.timers.getNowMs();
@@ -237,8 +257,10 @@
     const arrival = this.arrivals.get(output.requestId)!;
     const result = this.results.get(arrival.route)!;
     const route = this.pattern.routes.find((candidate) => candidate.name === arrival.route)!;
+    const isServed = output.type === 'answer' && output.answer.status < 300;
+    this.outcomes.push({ service: route.service, atMs: this.timers.getNowMs(), result: isServed ? 'served' : 'unserved' });
     const elapsedMs = this.timers.getNowMs() - arrival.atMs;
-    if (output.type === 'answer' && output.answer.status < 300) {
+    if (isServed) {
       if (elapsedMs <= route.objectiveMs) result.onTime += 1;
       else result.late += 1;
     } else if (output.type === 'refuse' && output.reason !== 'timed-out' && output.reason !== 'unknown') {
--- a/packages/gateway/test/callers/RoutedRequestTask.test.ts
+++ b/packages/gateway/test/callers/RoutedRequestTask.test.ts
@@ -1,3 +1,4 @@
+import * as gateway from '@tamarackferry/gateway';
 import * as vitest from 'vitest';
 
 import * as testGateway from '../TestGateway.js';
@@ -224,4 +225,33 @@
     [1, 2].forEach(() => tested.sendRequest());
     vitest.expect(tested.listAttempts().map((attempt) => attempt.instance.id)).toEqual(['i1', 'i1']);
   });
+
+  vitest.it('compares the instances once for all waiting requests when an attempt ends, not once for each of them', () => {
+    const countComparisons = (minWaiting: number): number => {
+      const patient = testRoute.buildRoute({ timeoutMs: 600_000, objectiveMs: 60_000 });
+      const tested = new testGateway.TestGateway([patient], INSTANCES);
+      const compared = vitest.vi.spyOn(gateway.upstreams.PooledInstance.prototype, 'evaluate');
+      Array.from({ length: 400 }, () => tested.sendRequest('/x/1', 600_000));
+      vitest.expect(tested.task.countWaiting()).toBeGreaterThanOrEqual(minWaiting);
+      compared.mockClear();
+      tested.endAttempt(tested.listAttempts()[0]!.attemptId);
+      const count = compared.mock.calls.length;
+      compared.mockRestore();
+      return count;
+    };
+    vitest.expect(countComparisons(100)).toBeLessThan(10 * INSTANCES.length);
+  });
+
+  vitest.it('stops sending evidence when nothing is in flight and no instance is suspected, even if an instance was removed', () => {
+    const tested = new testGateway.TestGateway([NON_IDEMPOTENT], INSTANCES);
+    tested.sendRequest();
+    const [attempt] = tested.listAttempts();
+    tested.task.post({ type: 'instances-changed', records: INSTANCES.filter((record) => record.id !== attempt!.instance.id) });
+    tested.timers.advanceTo(500);
+    tested.endAttempt(attempt!.attemptId, testGateway.TestGateway.buildAnswer(500));
+    tested.timers.advanceTo(30_000);
+    const wakeUps = vitest.vi.spyOn(tested.task, 'handle');
+    tested.timers.advanceTo(40_000);
+    vitest.expect(wakeUps).not.toHaveBeenCalled();
+  });
 });
--- a/packages/gateway/test/loadPatterns.ts
+++ b/packages/gateway/test/loadPatterns.ts
@@ -107,3 +107,18 @@
   routes: FAIL_FAST.routes.map((route) => ({ ...route, perSecond: route.perSecond * 4.6 })),
   gray: { ...FAIL_FAST.gray, share: 0.2 },
 };
+
+/**
+ * As `LARGE_FAIL_FAST`, with gray failures that come and go so often, and last so long, that more than a tenth of the requests are not
+ * served: the instances that have recovered are needed.
+ */
+export const LARGE_POOR: loadPattern.LoadPattern = {
+  ...LARGE_FAIL_FAST,
+  gray: { ...FAIL_FAST.gray, share: 0.45, spanMs: 3_000 },
+};
+
+/** As `LARGE`, with twice as many gray failures, which leave requests unanswered. */
+export const LARGE_POOR_UNANSWERED: loadPattern.LoadPattern = {
+  ...LARGE,
+  gray: { ...GRAY, share: 0.5, spanMs: 4_000 },
+};
--- a/packages/gateway/test/upstreams/GrayFailureEstimator.test.ts
+++ b/packages/gateway/test/upstreams/GrayFailureEstimator.test.ts
@@ -58,9 +58,9 @@
     vitest.expect(gossip.selectEvidence(build(1), 100)).toHaveLength(1);
     vitest.expect(gossip.selectEvidence(build(1), 200)).toHaveLength(0);
     vitest.expect(gossip.selectEvidence(build(2), 300)).toHaveLength(1);
-    vitest.expect(gossip.hasReported()).toBe(true);
+    vitest.expect(gossip.hasReported('i1')).toBe(true);
     vitest.expect(gossip.selectEvidence(build(0), 400)).toHaveLength(1);
-    vitest.expect(gossip.hasReported()).toBe(false);
+    vitest.expect(gossip.hasReported('i1')).toBe(false);
   });
 
   vitest.it('sends high log odds to the other VMs once, and again only after a change', () => {
--- a/packages/gateway/test/upstreams/ServicePool.test.ts
+++ b/packages/gateway/test/upstreams/ServicePool.test.ts
@@ -153,4 +153,37 @@
     pool.setInstances([{ ...record, startedAtMs: 2 }], 3);
     vitest.expect(instance.estimateFailureProbability(4)).toBeLessThan(0.1);
   });
+
+  vitest.it('compares a limited number of instances for a request, however many the service has', () => {
+    const countCompared = (size: number): number => {
+      const pool = buildPool(Array.from({ length: size }, (_, index) => testRoute.buildInstance(`i${index}`)));
+      const compared = vitest.vi.spyOn(gateway.upstreams.PooledInstance.prototype, 'evaluate');
+      pool.chooseInstance('non-idempotent', [], 0);
+      const count = new Set(compared.mock.contexts).size;
+      compared.mockRestore();
+      return count;
+    };
+    vitest.expect(countCompared(30)).toBe(30);
+    vitest.expect(countCompared(3_000)).toBe(countCompared(300));
+  });
+
+  vitest.it('finds the only free instance of a large service', () => {
+    const pool = buildPool(Array.from({ length: 1_000 }, (_, index) => testRoute.buildInstance(`i${index}`, { slots: 1 })));
+    const durations = buildDurations();
+    pool.listInstances().filter((instance) => instance.getRecord().id !== 'i700')
+      .forEach((instance) => ['a', 'b'].forEach((attempt) => instance.beginAttempt(attempt, 0, durations)));
+    vitest.expect(pool.chooseInstance('non-idempotent', [], 0)?.getRecord().id).toBe('i700');
+  });
+
+  vitest.it('sends the retry of an idempotent request to an instance that answered recently, not to an idle one', () => {
+    const pool = buildPool([testRoute.buildInstance('proven', { slots: 20 }), testRoute.buildInstance('idle', { slots: 20 })]);
+    const durations = buildDurations();
+    const proven = pool.getInstance('proven')!;
+    Array.from({ length: 3 }, (_, index) => String(index)).forEach((attempt) => {
+      proven.beginAttempt(attempt, 2_400, durations);
+      proven.endAttempt(attempt, testGateway.TestGateway.buildAnswer(200), 2_500);
+    });
+    vitest.expect(pool.chooseInstance('idempotent', [], 2_500)?.getRecord().id).toBe('idle');
+    vitest.expect(pool.chooseInstance('idempotent', ['other'], 2_500)?.getRecord().id).toBe('proven');
+  });
 });
