Let reserves hear only from the fronts of their place, and a starting fleet read the store in a few VMs

Cause: in a place of sixty VMs each received about 28 heartbeats a second, ranked all VMs four times a second and at each evidence message, and sent 6 KB of digests to three seeds every five seconds. VMs of other places were forgotten and found again, since a digest of the same run did not refresh a record.

Ruled out: halving the number of watchers (a front that relies on another VM would have to notice its silence within a second); stale reads of the store (a restarted VM would serve from them).

Change: reserves wake up once a second and send heartbeats to fronts, standbys and one other VM; fronts send to reserves once a second, with digests in turn; digests refresh records; of other places only the fronts and standbys are kept; ranks are computed at ticks. Starting VMs other than seeds wait 1.5 to 3 s for a catalog of another VM, unless a request of a caller waits, and fetch it from another place after a random delay; one update is fetched at a time. vm-found and vm-lost name the VM in `peer`, since `vm` is the writer.

--- a/packages/front/src/vms/FrontProcess.ts
+++ b/packages/front/src/vms/FrontProcess.ts
@@ -111,7 +111,13 @@
       budget: FrontProcess.computeRetryBudget(settings),
     });
     this.catalog = new gateway.contracts.CatalogTask({
-      scheduler, timers, random, outbox, requests: this.requests, membership: { post: (message) => this.membership.post(message) },
+      scheduler,
+      timers,
+      random,
+      outbox,
+      requests: this.requests,
+      membership: { post: (message) => this.membership.post(message) },
+      startReading: settings.seedHosts.includes(settings.host) ? 'at-once' : 'after-peers',
     });
     this.membership = new gateway.vms.MembershipTask({
       scheduler,
@@ -239,6 +245,9 @@
       case 'stop-reading':
         this.catalogReader.post(output);
         break;
+      case 'catalog-needed':
+        this.catalog.post(output);
+        break;
       case 'fetch-update':
         this.catalogUpdates.post(output);
         break;
--- a/packages/gateway/src/callers/GatewayOutput.ts
+++ b/packages/gateway/src/callers/GatewayOutput.ts
@@ -30,5 +30,7 @@
   | { readonly type: 'cancel-attempt'; readonly attemptId: string }
   // Evidence about instances, from the requests of this VM, that is to be sent to the other VMs.
   | { readonly type: 'evidence-found'; readonly rows: readonly instanceEvidence.InstanceEvidence[] }
+  // A request waits for the first configuration.
+  | { readonly type: 'catalog-needed' }
   | { readonly type: 'limits-changed'; readonly limits: configuration.CallerLimits }
   | { readonly type: 'log'; readonly event: string; readonly fields: LogFields };
--- a/packages/gateway/src/callers/RoutedRequestTask.ts
+++ b/packages/gateway/src/callers/RoutedRequestTask.ts
@@ -200,6 +200,7 @@
   private enqueueHeld(arrival: requestArrival.RequestArrival): 'held' | 'full' {
     const delayMs = this.heldRequests.add(arrival);
     if (delayMs === undefined) return 'full';
+    if (this.heldRequests.count() === 1) this.options.outbox.post({ type: 'catalog-needed' });
     this.options.timers.subscribe({ mailbox: this, message: { type: 'hold-expired' as const, requestId: arrival.requestId }, delayMs });
     return 'held';
   }
--- a/packages/gateway/src/contracts/CatalogMessage.ts
+++ b/packages/gateway/src/contracts/CatalogMessage.ts
@@ -22,7 +22,15 @@
   // A watcher reads the store itself; a follower fetches catalog updates from other VMs.
   | { readonly type: 'role-chosen'; readonly role: 'watcher' | 'follower' }
   // A heartbeat of another VM was received, with the revision of its catalog.
-  | { readonly type: 'peer-revision-received'; readonly host: string; readonly revision: number; readonly confirmedAgeMs: number }
+  | {
+    readonly type: 'peer-revision-received';
+    readonly host: string;
+    readonly distance: 'same-place' | 'other-place';
+    readonly revision: number;
+    readonly confirmedAgeMs: number;
+  }
+  // A request of a caller waits for the first configuration.
+  | { readonly type: 'catalog-needed' }
   | { readonly type: 'peer-update'; readonly host: string; readonly update: CatalogUpdate }
   // The request for an update from another VM failed.
   | { readonly type: 'peer-unreached'; readonly host: string }
--- a/packages/gateway/src/contracts/CatalogTask.ts
+++ b/packages/gateway/src/contracts/CatalogTask.ts
@@ -19,14 +19,27 @@
 // A follower reads the store itself if no VM has confirmed its catalog for this time.
 const FOLLOWER_TIMEOUT_MS = 3_000;
 
-// A starting VM waits for a catalog from other VMs for this time before it reads the store itself: some round trips to the seeds in a
-// region. If all VMs were killed together, no other VM has a catalog, and requests are held during this time.
+// A starting seed, from which the others discover the fleet, or a starting VM that callers already use, waits for a catalog from other VMs
+// for this time before it reads the store itself: some round trips in a region. If all VMs were killed together, no other VM has a catalog,
+// and requests are held during this time.
 const START_TIMEOUT_MS = 80;
 
+// Any other starting VM waits longer, by a random time of up to the second value in addition. Otherwise all VMs of a fleet that starts
+// would read the whole store.
+const START_PEER_TIMEOUT_MS = 1_500;
+const START_PEER_SPREAD_MS = 1_500;
+
+// It fetches the first catalog from a VM of another place only after a random part of this time, so that few VMs of a place do, and the
+// rest fetch it from them.
+const OTHER_PLACE_SPREAD_MS = 1_000;
+
+// A fetch from another VM normally takes some round trips. While one is in progress, no second one is started for this time.
+const FETCH_SPAN_MS = 700;
+
 // If the latest confirmation is older than this, a newer configuration may contain a route that is missing here.
 const MAX_CURRENT_AGE_MS = 4_000;
 
-// Interval of the checks of the age of the catalog, and of fetches from the same VM.
+// Interval of the checks of the age of the catalog.
 const CHECK_PERIOD_MS = 500;
 const MIN_BACKOFF_MS = 100;
 // The store counts as stable three seconds after an outage; all readers must have reconnected by then.
@@ -35,6 +48,8 @@
 // A follower that has started to read the store itself continues for this time before it relies on other VMs again.
 const DIRECT_READ_SPAN_MS = 6_000;
 
+type PeerNews = Extract<catalogMessage.CatalogMessage, { type: 'peer-revision-received' }>;
+
 /** Options of a `CatalogTask`. */
 export interface CatalogTaskOptions {
   readonly scheduler: core.tasks.TaskScheduler;
@@ -43,6 +58,8 @@
   readonly outbox: core.tasks.Mailbox<catalogMessage.CatalogOutput | gatewayOutput.GatewayOutput>;
   readonly requests: core.tasks.Mailbox<routedRequestMessage.RoutedRequestMessage>;
   readonly membership: core.tasks.Mailbox<membershipMessage.MembershipMessage>;
+  /** Whether the VM reads the store soon after its start, or waits longer for a catalog from other VMs. */
+  readonly startReading: 'at-once' | 'after-peers';
 }
 
 /**
@@ -76,10 +93,18 @@
 
   private startedAtMs = 0;
 
+  // Times until which the first catalog is awaited from other VMs, and from those of the same place only.
+  private awaitsPeersUntilMs = Infinity;
+
+  private awaitsPlaceUntilMs = 0;
+
   private backoffMs = MIN_BACKOFF_MS;
 
-  // Start times of the catalog updates that are being fetched, by the host of the other VM.
-  private readonly fetchStartedAtMs = new Map<string, number>();
+  // Start time of the catalog update that is being fetched; -Infinity if none is.
+  private fetchStartedAtMs = -Infinity;
+
+  // Latest revision that another VM announced while an update was being fetched.
+  private deferredNews: PeerNews | undefined;
 
   private readonly timers: core.time.TimerSubscription[] = [];
 
@@ -102,7 +127,7 @@
   override handle(message: catalogMessage.CatalogMessage): void {
     switch (message.type) {
       case 'start':
-        this.startedAtMs = this.options.timers.getNowMs();
+        this.beginStart();
         this.timers.push(this.options.timers.subscribe({
           mailbox: this, message: { type: 'check' as const }, delayMs: START_TIMEOUT_MS, periodMs: CHECK_PERIOD_MS,
         }));
@@ -111,6 +136,11 @@
         this.timers.forEach((timer) => timer.cancel());
         this.options.outbox.post({ type: 'stop-reading' });
         break;
+      case 'catalog-needed':
+        this.awaitsPeersUntilMs = this.startedAtMs + START_TIMEOUT_MS;
+        this.awaitsPlaceUntilMs = 0;
+        this.readIfNeeded();
+        break;
       case 'role-chosen':
         this.role = message.role;
         this.readIfNeeded();
@@ -137,10 +167,10 @@
         this.handlePeerRevision(message);
         break;
       case 'peer-update':
-        this.handleUpdate(message.host, message.update);
+        this.handleUpdate(message.update);
         break;
       case 'peer-unreached':
-        this.fetchStartedAtMs.delete(message.host);
+        this.endFetch();
         break;
       case 'update-requested':
         message.replyTo.post(this.buildUpdate(message.afterRevision));
@@ -156,10 +186,20 @@
     }
   }
 
+  private beginStart(): void {
+    const { random, startReading } = this.options;
+    this.startedAtMs = this.options.timers.getNowMs();
+    const timeoutMs = startReading === 'at-once' ? START_TIMEOUT_MS : START_PEER_TIMEOUT_MS + START_PEER_SPREAD_MS * random.drawFraction();
+    this.awaitsPeersUntilMs = this.startedAtMs + timeoutMs;
+    this.awaitsPlaceUntilMs = startReading === 'at-once' ? 0 : this.startedAtMs + OTHER_PLACE_SPREAD_MS * random.drawFraction();
+  }
+
   private readIfNeeded(): void {
     if (this.reading !== 'idle') return;
     const nowMs = this.options.timers.getNowMs();
-    const waitsForPeers = nowMs - Math.max(this.confirmedAtMs, this.startedAtMs) <= (this.contents === 'empty' ? START_TIMEOUT_MS : FOLLOWER_TIMEOUT_MS);
+    const waitsForPeers = this.contents === 'empty'
+      ? nowMs <= this.awaitsPeersUntilMs
+      : nowMs - Math.max(this.confirmedAtMs, this.startedAtMs) <= FOLLOWER_TIMEOUT_MS;
     if (this.role === 'follower' && waitsForPeers && nowMs >= this.directReadUntilMs) return;
     if (this.role === 'follower' && !waitsForPeers) this.directReadUntilMs = nowMs + DIRECT_READ_SPAN_MS;
     if (this.contents === 'empty') {
@@ -190,26 +230,39 @@
     this.backoffMs = Math.min(MAX_BACKOFF_MS, this.backoffMs * 2);
   }
 
-  private handlePeerRevision(received: Extract<catalogMessage.CatalogMessage, { type: 'peer-revision-received' }>): void {
+  private handlePeerRevision(received: PeerNews): void {
     const nowMs = this.options.timers.getNowMs();
     if (this.contents === 'complete' && received.revision <= this.catalog.getRevision()) {
       if (received.revision === this.catalog.getRevision()) this.recordConfirmation(nowMs - received.confirmedAgeMs);
       return;
     }
     // A VM without a catalog states the revision 0.
-    if (received.revision === 0 || nowMs - (this.fetchStartedAtMs.get(received.host) ?? -Infinity) < CHECK_PERIOD_MS) return;
-    this.fetchStartedAtMs.set(received.host, nowMs);
+    if (received.revision === 0) return;
+    if (nowMs - this.fetchStartedAtMs < FETCH_SPAN_MS) {
+      this.deferredNews = received;
+      return;
+    }
+    if (this.contents === 'empty' && received.distance === 'other-place' && nowMs < this.awaitsPlaceUntilMs) return;
+    this.fetchStartedAtMs = nowMs;
     this.options.outbox.post({
       type: 'fetch-update', host: received.host, afterRevision: this.contents === 'empty' ? -1 : this.catalog.getRevision(),
     });
   }
 
-  private handleUpdate(host: string, update: catalogMessage.CatalogUpdate): void {
-    this.fetchStartedAtMs.delete(host);
+  private handleUpdate(update: catalogMessage.CatalogUpdate): void {
     const changedParts = update.type === 'snapshot'
       ? this.catalog.applySnapshot(update.snapshot)
       : this.catalog.applyChanges(update.changes, update.revision);
     this.finishReading(changedParts, 'peer', this.options.timers.getNowMs() - update.confirmedAgeMs);
+    this.endFetch();
+  }
+
+  // A revision announced meanwhile is fetched now; its age was measured when it was announced.
+  private endFetch(): void {
+    this.fetchStartedAtMs = -Infinity;
+    const news = this.deferredNews;
+    this.deferredNews = undefined;
+    if (news !== undefined && (this.contents === 'empty' || news.revision > this.catalog.getRevision())) this.handlePeerRevision(news);
   }
 
   private finishReading(changedParts: ReadonlySet<catalog.CatalogPart>, source: 'store' | 'peer', confirmedAtMs = this.options.timers.getNowMs()): void {
--- a/packages/gateway/src/vms/MembershipTask.ts
+++ b/packages/gateway/src/vms/MembershipTask.ts
@@ -2,38 +2,53 @@
 
 import type * as gatewayOutput from '../callers/GatewayOutput.js';
 import type * as catalogMessage from '../contracts/CatalogMessage.js';
+import type * as instanceEvidence from '../upstreams/InstanceEvidence.js';
 import * as frontChoice from './FrontChoice.js';
 import * as peerVm from './PeerVm.js';
 import type * as membershipMessage from './MembershipMessage.js';
 import type * as vmHeartbeat from './VmHeartbeat.js';
 
-// VMs that callers are sent to (fronts) send heartbeats at each tick, so that the loss of one is detected within a second.
+// VMs that callers are sent to (fronts) send heartbeats to each other and to the VMs that would replace them (standbys) at each tick, so
+// that the loss of one is detected within a second.
 const TICK_MS = 250;
 const FRONT_TIMEOUT_MS = 1_000;
+const STANDBYS = 2;
 
-// The other VMs of a place (reserves) send heartbeats less often, since no caller depends on them. Their interval grows with the number of
-// VMs in the place, so that the number of heartbeats sent by a VM does not.
+// Ticks between heartbeats of a front to the other VMs of its place (reserves), and of a standby. Reserves only answer directory requests,
+// so they wake up as rarely, and a front counts as lost for them after two missing heartbeats.
+const FRONT_TO_RESERVE_TICKS = 4;
+const STANDBY_TICKS = 2;
+const RESERVE_TICK_SPAN = 4;
+const FRONT_TIMEOUT_FOR_RESERVES_MS = 2_600;
+
+// Reserves send heartbeats less often, since no caller depends on them: to the fronts and standbys, whose digests spread the news, and to
+// one other VM. Their interval grows with the number of VMs in the place, so that the number of heartbeats received by a front does not.
 const MIN_RESERVE_TICKS = 4;
 const RESERVE_VMS_PER_TICK = 5;
 
-// A reserve counts as unreachable after this many of its heartbeat intervals without a heartbeat.
+// A reserve counts as unreachable after this many of its heartbeat intervals, and the time that digests take, without news of it.
 const RESERVE_TIMEOUT_PERIODS = 3.5;
+const DIGEST_DELAY_MS = 8_000;
 
-// Ticks between heartbeats to a VM of another place and to the seeds. An isolated VM, which knows no reachable VM of its place, sends
-// heartbeats to the seeds more often.
+// Ticks between heartbeats of a front to the fronts of other places, of another VM to a VM of another place, and to a seed. An isolated VM,
+// which knows no reachable VM of its place, sends heartbeats to all seeds more often.
 const OTHER_PLACE_TICKS = 8;
-const SEED_TICKS = 20;
+const FRONT_SEED_TICKS = 20;
+const SEED_TICKS = 240;
 const ISOLATED_SEED_TICKS = 2;
 
-// The record of a VM is removed when its latest report is older than this.
+// The record of a VM is removed when its latest report is older than this, or than twice the time-out of reserves.
 const RECORD_LIFETIME_MS = 30_000;
 
 // Heartbeats are sent to a VM of the same place until its latest report is older than this. VMs of other places are considered reachable
 // for the same time.
 const CONTACT_LIFETIME_MS = 10_000;
 
-// Digests of other VMs in a heartbeat, and in the reply to a VM that requested one.
-const HEARTBEAT_DIGESTS = 4;
+// Digests of other VMs in a heartbeat, which take turns, and in the reply to a VM that requested one. In a large place there are more, so
+// that each reserve is mentioned well before it counts as unreachable.
+const MIN_HEARTBEAT_DIGESTS = 4;
+const MAX_HEARTBEAT_DIGESTS = 16;
+const VMS_PER_DIGEST = 5;
 const REPLY_DIGESTS = 40;
 
 // A tick that fires late by more than this shows that the VM is slowed down. The VM is then in the state `slow` for the given number of
@@ -61,6 +76,9 @@
 export class MembershipTask extends core.tasks.Task<membershipMessage.MembershipMessage> {
   private readonly vms = new Map<string, peerVm.PeerVm>();
 
+  // Number of VMs of the place, including this one, at the latest tick.
+  private placeSize = 1;
+
   private state: vmHeartbeat.VmState = 'starting';
 
   // Revision of the catalog of this VM.
@@ -76,6 +94,12 @@
 
   private lastTickMs = 0;
 
+  // Number of ticks until the next timer message: a reserve is woken up for several ticks at once.
+  private tickSpan = 1;
+
+  // Position in the list of VMs at which the digests of the next heartbeat begin.
+  private nextDigest = 0;
+
   // Number of ticks for which this VM remains in the state `slow`.
   private slowTicks = 0;
 
@@ -84,9 +108,14 @@
 
   private timer: core.time.TimerSubscription | undefined;
 
-  // Hosts of the fronts of the place of this VM.
+  // Hosts of the fronts of the place of this VM, and of the VMs that would replace them.
   private fronts: readonly string[] = [];
 
+  private standbys: readonly string[] = [];
+
+  // Hosts of the fronts of the other places.
+  private otherFronts: readonly string[] = [];
+
   private seedHosts: readonly string[];
 
   private validityMs: number;
@@ -113,9 +142,7 @@
     switch (message.type) {
       case 'start':
         this.lastTickMs = this.options.timers.getNowMs();
-        this.timer = this.options.timers.subscribe({
-          mailbox: this, message: { type: 'tick' as const }, delayMs: TICK_MS, periodMs: TICK_MS,
-        });
+        this.startTimer();
         this.sendHeartbeat(this.seedHosts, 'wanted');
         this.updateRole();
         break;
@@ -138,9 +165,7 @@
         this.sendHeartbeat(this.seedHosts, 'wanted');
         break;
       case 'evidence-found':
-        this.options.outbox.post({
-          type: 'send-evidence', hosts: this.listEvidenceHosts(), notice: { from: this.options.self.name, rows: message.rows },
-        });
+        this.sendEvidence(message.rows);
         break;
       case 'directory-requested':
         message.replyTo.post({ hosts: this.listFronts(message.place), validityMs: this.validityMs });
@@ -154,18 +179,53 @@
 
   private handleTick(): void {
     const nowMs = this.options.timers.getNowMs();
-    const lateMs = nowMs - this.lastTickMs - TICK_MS;
+    const lateMs = nowMs - this.lastTickMs - this.tickSpan * TICK_MS;
     this.lastTickMs = nowMs;
-    this.ticks += 1;
-    this.slowTicks = lateMs > LATE_TICK_MS ? SLOW_TICKS : Math.max(0, this.slowTicks - 1);
+    this.ticks += this.tickSpan;
+    this.slowTicks = lateMs > LATE_TICK_MS ? SLOW_TICKS : Math.max(0, this.slowTicks - this.tickSpan);
     if (this.state === 'ready' || this.state === 'slow') this.setState(this.slowTicks > 0 ? 'slow' : 'ready');
     this.pruneVms(nowMs);
-    const isFront = this.fronts.includes(this.options.self.host);
-    if (isFront || this.ticks % this.computeReserveTicks() === 0) this.sendHeartbeat(this.listTargets(nowMs), 'none');
-    if (this.ticks % OTHER_PLACE_TICKS === 0) this.sendToOtherPlace();
-    const isolated = this.listReachable().every((vm) => vm.getLastReport().place !== this.options.self.place);
-    if (this.ticks % (isolated ? ISOLATED_SEED_TICKS : SEED_TICKS) === 0) this.sendHeartbeat(this.seedHosts, 'wanted');
     this.updateRole();
+    this.sendPeriodicHeartbeats(nowMs);
+    this.startTimer();
+  }
+
+  private startTimer(): void {
+    this.tickSpan = this.getStanding() === 'reserve' ? RESERVE_TICK_SPAN : 1;
+    this.timer?.cancel();
+    this.timer = this.options.timers.subscribe({ mailbox: this, message: { type: 'tick' as const }, delayMs: this.tickSpan * TICK_MS });
+  }
+
+  // A VM that knows no front may become one at any time.
+  private getStanding(): 'front' | 'standby' | 'reserve' {
+    const { host } = this.options.self;
+    if (this.fronts.includes(host)) return 'front';
+    return this.fronts.length === 0 || this.standbys.includes(host) ? 'standby' : 'reserve';
+  }
+
+  private sendPeriodicHeartbeats(nowMs: number): void {
+    const { random } = this.options;
+    const standing = this.getStanding();
+    const closest = [...this.fronts, ...this.standbys];
+    if (standing === 'front' && this.isDue(FRONT_TO_RESERVE_TICKS)) this.sendHeartbeat(this.listTargets(nowMs), 'none');
+    // Without digests: the closest VMs hear from all others themselves.
+    else if (standing === 'front' || (standing === 'standby' && this.isDue(STANDBY_TICKS))) this.sendHeartbeat(closest, 'none', []);
+    else if (standing === 'reserve' && this.isDue(this.computeReserveTicks())) {
+      const other = random.pickItem(this.listTargets(nowMs));
+      this.sendHeartbeat([...new Set([...closest, ...other === undefined ? [] : [other]])], 'none', []);
+    }
+    if (this.isDue(OTHER_PLACE_TICKS)) this.sendToOtherPlaces(standing);
+    const isolated = this.listReachable().every((vm) => vm.getLastReport().place !== this.options.self.place);
+    if (isolated && this.isDue(ISOLATED_SEED_TICKS)) this.sendHeartbeat(this.seedHosts, 'wanted');
+    else if (!isolated && this.isDue(standing === 'front' ? FRONT_SEED_TICKS : SEED_TICKS)) {
+      const seed = random.pickItem(this.seedHosts);
+      if (seed !== undefined) this.sendHeartbeat([seed], 'wanted');
+    }
+  }
+
+  // Whether a period has ended since the previous tick.
+  private isDue(periodTicks: number): boolean {
+    return Math.floor(this.ticks / periodTicks) !== Math.floor((this.ticks - this.tickSpan) / periodTicks);
   }
 
   private handleHeartbeat(heartbeat: vmHeartbeat.VmHeartbeat): void {
@@ -176,14 +236,18 @@
     const previousState = existing?.getLastReport().state;
     if (existing === undefined) {
       this.vms.set(heartbeat.name, peerVm.PeerVm.fromDigest({ ...heartbeat, ageMs: 0 }, nowMs));
-      this.log('vm-found', { vm: heartbeat.name, place: heartbeat.place, state: heartbeat.state });
+      if (heartbeat.place === self.place) this.log('vm-found', { peer: heartbeat.name, place: heartbeat.place, state: heartbeat.state });
     } else existing.applyHeartbeat(heartbeat, nowMs);
     heartbeat.mentions.filter((digest) => digest.name !== self.name).forEach((digest) => this.applyDigest(digest, nowMs));
     if (previousState !== heartbeat.state) this.updateRole();
     this.options.catalog.post({
-      type: 'peer-revision-received', host: heartbeat.host, revision: heartbeat.revision, confirmedAgeMs: heartbeat.confirmedAgeMs,
+      type: 'peer-revision-received',
+      host: heartbeat.host,
+      distance: heartbeat.place === self.place ? 'same-place' : 'other-place',
+      revision: heartbeat.revision,
+      confirmedAgeMs: heartbeat.confirmedAgeMs,
     });
-    if (heartbeat.reply === 'wanted') this.sendHeartbeat([heartbeat.host], 'none', REPLY_DIGESTS);
+    if (heartbeat.reply === 'wanted') this.sendHeartbeat([heartbeat.host], 'none', this.listForNewcomer(heartbeat.place));
   }
 
   private applyDigest(digest: vmHeartbeat.PeerDigest, nowMs: number): void {
@@ -201,9 +265,12 @@
     } else if (status.content === 'changed' && this.role === 'watcher') this.announce();
   }
 
-  // Sends a heartbeat to the VMs of the place immediately instead of at the next tick.
+  // Sends a heartbeat to the VMs of the place immediately instead of at the next tick. Reserves need not know of each other at once, unless
+  // one of them leaves.
   private announce(): void {
-    this.sendHeartbeat(this.listTargets(this.options.timers.getNowMs()), 'none');
+    const nowMs = this.options.timers.getNowMs();
+    const isReserve = this.getStanding() === 'reserve' && this.state !== 'leaving';
+    this.sendHeartbeat(isReserve ? [...this.fronts, ...this.standbys] : this.listTargets(nowMs), 'none');
   }
 
   private setState(state: vmHeartbeat.VmState): void {
@@ -215,23 +282,26 @@
   private updateRole(): void {
     const { self, frontsPerPlace } = this.options;
     const nowMs = this.options.timers.getNowMs();
-    const fronts = this.rankPlace(self.place, nowMs).slice(0, frontsPerPlace).map((vm) => vm.host);
+    const ranked = this.rankPlace(self.place, nowMs).map((vm) => vm.host);
+    const fronts = ranked.slice(0, frontsPerPlace);
     if (fronts.join() !== this.fronts.join()) this.log('fronts-changed', { fronts: fronts.join(' ') });
     this.fronts = fronts;
-    const role = fronts.includes(self.host) ? 'watcher' : 'follower';
+    this.standbys = ranked.slice(frontsPerPlace, frontsPerPlace + STANDBYS);
+    const places = new Set([...this.vms.values()].map((vm) => vm.getLastReport().place).filter((place) => place !== self.place));
+    this.otherFronts = [...places].flatMap((place) => this.rankPlace(place, nowMs).slice(0, frontsPerPlace).map((vm) => vm.host));
+    // VMs that are starting will serve soon, so that the first ones that are ready do not all watch the store.
+    const watchers = this.rankPlace(self.place, nowMs, 'starting').slice(0, frontsPerPlace).map((vm) => vm.host);
+    const role = this.state !== 'starting' && watchers.includes(self.host) ? 'watcher' : 'follower';
     if (role === this.role) return;
     this.role = role;
     this.options.catalog.post({ type: 'role-chosen', role });
   }
 
   // Evidence is sent to the fronts of all places only, since they route nearly all requests.
-  private listEvidenceHosts(): string[] {
-    const { self, frontsPerPlace } = this.options;
-    const nowMs = this.options.timers.getNowMs();
-    const places = new Set([self.place, ...[...this.vms.values()].map((vm) => vm.getLastReport().place)]);
-    return [...places]
-      .flatMap((place) => this.rankPlace(place, nowMs).slice(0, frontsPerPlace).map((vm) => vm.host))
-      .filter((host) => host !== self.host);
+  private sendEvidence(rows: readonly instanceEvidence.InstanceEvidence[]): void {
+    const { self, outbox } = this.options;
+    const hosts = [...this.fronts, ...this.otherFronts].filter((host) => host !== self.host);
+    outbox.post({ type: 'send-evidence', hosts, notice: { from: self.name, rows } });
   }
 
   private listFronts(place: string): string[] {
@@ -244,29 +314,34 @@
     return ownFronts.length > 0 ? ownFronts.map((vm) => vm.host) : [self.host];
   }
 
-  private rankPlace(place: string, nowMs: number): frontChoice.FrontCandidate[] {
+  private rankPlace(place: string, nowMs: number, leastState: 'slow' | 'starting' = 'slow'): frontChoice.FrontCandidate[] {
     const { self } = this.options;
     const others = [...this.vms.values()]
       .filter((vm) => vm.getLastReport().place === place && this.isReachable(vm, nowMs))
       .map((vm) => vm.getLastReport());
-    return frontChoice.FrontChoice.rankCandidates(place, self.place === place ? [{ ...self, state: this.state }, ...others] : others);
+    const candidates = self.place === place ? [{ ...self, state: this.state }, ...others] : others;
+    return frontChoice.FrontChoice.rankCandidates(place, candidates, leastState);
   }
 
   private isReachable(vm: peerVm.PeerVm, nowMs: number): boolean {
     const { host, place } = vm.getLastReport();
-    const timeoutMs = place !== this.options.self.place || !this.fronts.includes(host) ? this.computeReserveTimeoutMs() : FRONT_TIMEOUT_MS;
+    const ageMs = vm.computeReportAgeMs(nowMs);
     // Reports about VMs of other places are received by gossip only, and therefore less often.
-    return vm.computeReportAgeMs(nowMs) <= (place === this.options.self.place ? timeoutMs : CONTACT_LIFETIME_MS);
+    if (place !== this.options.self.place) return ageMs <= this.computeContactLifetimeMs();
+    if (!this.fronts.includes(host)) return ageMs <= this.computeReserveTimeoutMs();
+    return ageMs <= (this.getStanding() === 'reserve' ? FRONT_TIMEOUT_FOR_RESERVES_MS : FRONT_TIMEOUT_MS);
   }
 
   private computeReserveTicks(): number {
-    const { place } = this.options.self;
-    const placeSize = 1 + [...this.vms.values()].filter((vm) => vm.getLastReport().place === place).length;
-    return Math.max(MIN_RESERVE_TICKS, Math.ceil(placeSize / RESERVE_VMS_PER_TICK));
+    return Math.max(MIN_RESERVE_TICKS, Math.ceil(this.placeSize / RESERVE_VMS_PER_TICK));
   }
 
   private computeReserveTimeoutMs(): number {
-    return RESERVE_TIMEOUT_PERIODS * this.computeReserveTicks() * TICK_MS;
+    return DIGEST_DELAY_MS + RESERVE_TIMEOUT_PERIODS * this.computeReserveTicks() * TICK_MS;
+  }
+
+  private computeContactLifetimeMs(): number {
+    return Math.max(CONTACT_LIFETIME_MS + DIGEST_DELAY_MS, this.computeReserveTimeoutMs());
   }
 
   private listReachable(): peerVm.PeerVm[] {
@@ -276,18 +351,25 @@
 
   private listTargets(nowMs: number): string[] {
     return [...this.vms.values()]
-      .filter((vm) => vm.getLastReport().place === this.options.self.place && vm.computeReportAgeMs(nowMs) <= CONTACT_LIFETIME_MS)
+      .filter((vm) => vm.getLastReport().place === this.options.self.place)
+      .filter((vm) => vm.computeReportAgeMs(nowMs) <= this.computeContactLifetimeMs())
       .map((vm) => vm.getLastReport().host);
   }
 
-  private sendToOtherPlace(): void {
+  private sendToOtherPlaces(standing: 'front' | 'standby' | 'reserve'): void {
+    if (standing === 'front' && this.otherFronts.length > 0) {
+      this.sendHeartbeat(this.otherFronts, 'none', this.listClosest());
+      return;
+    }
+    // The fronts tell their place about the others, so that a reserve needs no contact of its own.
+    if (standing === 'reserve') return;
     const others = [...this.vms.values()].filter((vm) => vm.getLastReport().place !== this.options.self.place);
     const target = this.options.random.pickItem(others);
-    if (target !== undefined) this.sendHeartbeat([target.getLastReport().host], 'none');
+    if (target !== undefined) this.sendHeartbeat([target.getLastReport().host], 'none', this.listClosest());
   }
 
-  private sendHeartbeat(hosts: readonly string[], reply: 'wanted' | 'none', digestCount = HEARTBEAT_DIGESTS): void {
-    const { self, random } = this.options;
+  private sendHeartbeat(hosts: readonly string[], reply: 'wanted' | 'none', mentioned = this.takeDigests()): void {
+    const { self } = this.options;
     const others = hosts.filter((host) => host !== self.host);
     if (others.length === 0) return;
     const nowMs = this.options.timers.getNowMs();
@@ -302,16 +384,45 @@
         revision: this.revision,
         confirmedAgeMs: Math.min(1e9, Math.round(nowMs - this.confirmedAtMs)),
         reply,
-        mentions: random.shuffleItems(this.listReachable()).slice(0, digestCount).map((vm) => vm.buildDigest(nowMs)),
+        mentions: mentioned.map((vm) => vm.buildDigest(nowMs)),
       },
     });
   }
 
+  // Takes the next VMs, in turn, of those that the VMs of this place should know: all of the place, and the fronts of the others.
+  private takeDigests(): peerVm.PeerVm[] {
+    const { place } = this.options.self;
+    const known = this.listReachable()
+      .filter((vm) => vm.getLastReport().place === place || this.otherFronts.includes(vm.getLastReport().host));
+    const count = Math.min(MAX_HEARTBEAT_DIGESTS, Math.max(MIN_HEARTBEAT_DIGESTS, Math.ceil(known.length / VMS_PER_DIGEST)));
+    const first = this.nextDigest % Math.max(1, known.length);
+    this.nextDigest = first + count;
+    return [...known.slice(first), ...known.slice(0, first)].slice(0, count);
+  }
+
+  // Other places need to know the fronts of this place, and the VMs that would replace them.
+  private listClosest(): peerVm.PeerVm[] {
+    const closest = [...this.fronts, ...this.standbys];
+    return this.listReachable().filter((vm) => closest.includes(vm.getLastReport().host));
+  }
+
+  // A VM that discovers the fleet needs to know its own place first.
+  private listForNewcomer(place: string): peerVm.PeerVm[] {
+    const reachable = this.options.random.shuffleItems(this.listReachable());
+    const isOfPlace = (vm: peerVm.PeerVm): boolean => vm.getLastReport().place === place;
+    return [...reachable.filter(isOfPlace), ...reachable.filter((vm) => !isOfPlace(vm))].slice(0, REPLY_DIGESTS);
+  }
+
   private pruneVms(nowMs: number): void {
-    [...this.vms].filter(([, vm]) => vm.computeReportAgeMs(nowMs) > RECORD_LIFETIME_MS).forEach(([name]) => {
+    const lifetimeMs = Math.max(RECORD_LIFETIME_MS, 2 * this.computeReserveTimeoutMs());
+    this.vms.forEach((vm, name) => {
+      if (vm.computeReportAgeMs(nowMs) <= lifetimeMs) return;
       this.vms.delete(name);
-      this.log('vm-lost', { vm: name });
+      // Of the other places, this VM only needs to know the fronts; it forgets the VMs that it met while it discovered the fleet.
+      if (vm.getLastReport().place === this.options.self.place) this.log('vm-lost', { peer: name });
     });
+    const { place } = this.options.self;
+    this.placeSize = 1 + [...this.vms.values()].filter((vm) => vm.getLastReport().place === place).length;
   }
 
   private log(event: string, fields: gatewayOutput.LogFields): void {
--- a/packages/gateway/src/vms/PeerVm.ts
+++ b/packages/gateway/src/vms/PeerVm.ts
@@ -35,17 +35,17 @@
   }
 
   /**
-   * Applies a digest from a third VM if it is newer than the latest report and describes another incarnation.
+   * Applies a digest from a third VM if it is newer than the latest report.
    * @param digest - Digest as received.
    * @param nowMs - Current time.
    */
   applyDigest(digest: vmHeartbeat.PeerDigest, nowMs: number): void {
-    const reportedAtMs = nowMs - digest.ageMs;
-    if (reportedAtMs <= this.reportedAtMs || digest.incarnation === this.report.incarnation) return;
     const { ageMs, ...report } = digest;
+    const reportedAtMs = nowMs - ageMs;
+    if (reportedAtMs <= this.reportedAtMs) return;
+    if (report.incarnation !== this.report.incarnation) this.sequence = -1;
     this.report = report;
-    this.reportedAtMs = nowMs - ageMs;
-    this.sequence = -1;
+    this.reportedAtMs = reportedAtMs;
   }
 
   /** Gets the latest report from or about the VM. */
--- a/packages/gateway/test/contracts/CatalogTask.test.ts
+++ b/packages/gateway/test/contracts/CatalogTask.test.ts
@@ -16,14 +16,20 @@
 
   readonly membershipMessages: gateway.vms.MembershipMessage[] = [];
 
-  readonly task = new gateway.contracts.CatalogTask({
-    scheduler: new core.tasks.TaskScheduler(),
-    timers: this.timers,
-    random: new core.randomness.SeededRandomSource(1),
-    outbox: { post: (output) => this.outputs.push(output) },
-    requests: { post: (message) => this.requestMessages.push(message) },
-    membership: { post: (message) => this.membershipMessages.push(message) },
-  });
+  readonly task: gateway.contracts.CatalogTask;
+
+  /** @param startReading - Whether the VM reads the store soon after its start. */
+  constructor(startReading: 'at-once' | 'after-peers' = 'at-once') {
+    this.task = new gateway.contracts.CatalogTask({
+      scheduler: new core.tasks.TaskScheduler(),
+      timers: this.timers,
+      random: new core.randomness.SeededRandomSource(1),
+      outbox: { post: (output) => this.outputs.push(output) },
+      requests: { post: (message) => this.requestMessages.push(message) },
+      membership: { post: (message) => this.membershipMessages.push(message) },
+      startReading,
+    });
+  }
 
   /**
    * Counts the outputs of a type.
@@ -88,7 +94,7 @@
     const tested = new TestCatalog();
     tested.task.post({ type: 'start' });
     tested.task.post({
-      type: 'peer-revision-received', host: '10.0.0.2', revision: 5, confirmedAgeMs: 10,
+      type: 'peer-revision-received', host: '10.0.0.2', distance: 'same-place', revision: 5, confirmedAgeMs: 10,
     });
     vitest.expect(tested.outputs).toContainEqual({ type: 'fetch-update', host: '10.0.0.2', afterRevision: -1 });
     tested.task.post({ type: 'peer-update', host: '10.0.0.2', update: { type: 'snapshot', confirmedAgeMs: 10, snapshot: SNAPSHOT } });
@@ -131,4 +137,47 @@
     vitest.expect(updates[0]).toMatchObject({ type: 'snapshot', snapshot: { revision: 5 } });
     vitest.expect(updates[1]).toMatchObject({ type: 'changes', changes: [], revision: 5 });
   });
+
+  vitest.it('reads the store only after it has waited for other VMs, unless a request of a caller waits for the catalog', () => {
+    const idle = new TestCatalog('after-peers');
+    idle.task.post({ type: 'start' });
+    idle.timers.advanceTo(2_400);
+    vitest.expect(idle.countOutputs('read-snapshot')).toBe(0);
+    idle.timers.advanceTo(5_000);
+    vitest.expect(idle.countOutputs('read-snapshot')).toBe(1);
+    const used = new TestCatalog('after-peers');
+    used.task.post({ type: 'start' });
+    used.timers.advanceTo(1_100);
+    used.task.post({ type: 'catalog-needed' });
+    vitest.expect(used.countOutputs('read-snapshot')).toBe(1);
+  });
+
+  vitest.it('fetches one update at a time, and afterwards the one that was announced meanwhile', () => {
+    const tested = buildWatcher();
+    const announce = (host: string, revision: number): void => tested.task.post({
+      type: 'peer-revision-received', host, distance: 'same-place', revision, confirmedAgeMs: 10,
+    });
+    announce('10.0.0.2', 7);
+    announce('10.0.0.3', 8);
+    vitest.expect(tested.outputs.filter((output) => output.type === 'fetch-update')).toHaveLength(1);
+    tested.task.post({
+      type: 'peer-update',
+      host: '10.0.0.2',
+      update: {
+        type: 'changes', revision: 7, confirmedAgeMs: 10, changes: [],
+      },
+    });
+    vitest.expect(tested.outputs.filter((output) => output.type === 'fetch-update').at(-1)).toMatchObject({ host: '10.0.0.3', afterRevision: 7 });
+  });
+
+  vitest.it('is held up by no fetch from a VM that does not respond', () => {
+    const tested = buildWatcher();
+    ['10.0.0.2', '10.0.0.3'].forEach((host, index) => {
+      tested.timers.advanceTo(2_000 + index * 800);
+      tested.task.post({
+        type: 'peer-revision-received', host, distance: 'same-place', revision: 9, confirmedAgeMs: 10,
+      });
+    });
+    vitest.expect(tested.outputs.filter((output) => output.type === 'fetch-update').map((output) => output.host)).toEqual(['10.0.0.2', '10.0.0.3']);
+  });
 });
