Serve during a stop although deadlines are longer than the grace period, and give every request an outcome before the exit

Cause: a stopping VM refused every request whose deadline was later than its exit, also those that take 0.3 s; requests accepted before the stop with later deadlines were cut without an answer at the exit; a response that its caller had not read completely did not count as open, so that the exit cut it.

Ruled out: accepting until the exit (a request at which its instance is still at work would have to be broken off).

Change: for the first 3 s, or half of the grace period, requests are accepted with their time limited to the stop; at 0.89 of the grace period all requests get an outcome (`timed-out` if sent, a true refusal if not), and at 0.94 the process exits; responses count as open until they are written completely.

Measured: three new tests; the test of the unread response fails on the code before (0 open instead of 1), the other two use the new limit of the message.

--- a/packages/front/src/callers/FrontListener.ts
+++ b/packages/front/src/callers/FrontListener.ts
@@ -55,6 +55,9 @@
   // Requests whose bodies are being received.
   private readonly receiving = new Set<frontExchange.FrontExchange>();
 
+  // Responses that were sent but are not written to the network completely, since their callers read slowly.
+  private readonly unwritten = new Set<http.ServerResponse>();
+
   private receiveTimer: core.time.TimerSubscription | undefined;
 
   private limits = INITIAL_LIMITS;
@@ -91,9 +94,9 @@
     });
   }
 
-  /** Counts the requests that have no response yet. */
+  /** Counts the requests whose response has not been written to the network completely. */
   countOpenRequests(): number {
-    return this.exchanges.size;
+    return this.exchanges.size + this.unwritten.size;
   }
 
   /** @internal */
@@ -140,7 +143,11 @@
     wanted: 'keep' | 'close',
   ): void {
     const connection = this.connections.get(exchange.getRequest().socket);
-    if (connection !== undefined) exchange.send(status, headers, body, connection.decideAfter(exchange, wanted));
+    if (connection === undefined || !exchange.isOpen()) return;
+    const { response } = exchange.options;
+    this.unwritten.add(response);
+    response.once('close', () => this.unwritten.delete(response));
+    exchange.send(status, headers, body, connection.decideAfter(exchange, wanted));
   }
 
   private endExchange(requestId: string, exchange: frontExchange.FrontExchange): void {
--- a/packages/front/src/vms/FrontProcess.ts
+++ b/packages/front/src/vms/FrontProcess.ts
@@ -25,8 +25,15 @@
 // Share of the grace period during which a stopping process still accepts new connections.
 const ACCEPT_PERIOD_SHARE = 0.75;
 
-// Time reserved at the end of the grace period for the exit of the process.
-const EXIT_MARGIN_MS = 400;
+// Part of the grace period in which requests are accepted although they may take longer than it, and its longest length. A request that is
+// sent later must be over before the process ends.
+const OPEN_PERIOD_SHARE = 0.5;
+const MAX_OPEN_PERIOD_MS = 3_000;
+
+// Shares of the grace period after which all requests get an outcome, and after which the process exits. The time between them is for
+// writing the last responses, the time after them for the exit.
+const OUTCOME_SHARE = 0.89;
+const EXIT_SHARE = 0.94;
 const DRAIN_CHECK_INTERVAL_MS = 50;
 
 // Share of the retry budget of the platform that the VMs use. The VMs divide the budget without exchanging messages, and
@@ -84,7 +91,8 @@
 
   private readonly metrics: metrics.ProcessMetrics;
 
-  private graceEndsAtMs = Infinity;
+  // Time at which the process exits at the latest, once it is being stopped.
+  private exitsAtMs = Infinity;
 
   private resolveEnded: () => void = () => undefined;
 
@@ -202,13 +210,19 @@
 
   /** Starts a graceful shutdown. */
   stop(): void {
-    if (this.graceEndsAtMs !== Infinity) return;
-    this.graceEndsAtMs = this.timers.getNowMs() + this.settings.shutdownGraceMs;
+    if (this.exitsAtMs !== Infinity) return;
+    const { shutdownGraceMs } = this.settings;
+    const nowMs = this.timers.getNowMs();
+    this.exitsAtMs = nowMs + shutdownGraceMs * EXIT_SHARE;
     this.log.write('process-stopping', { open: this.listener.countOpenRequests() });
-    this.requests.post({ type: 'stopping', endsAtMs: this.graceEndsAtMs - EXIT_MARGIN_MS });
+    this.requests.post({
+      type: 'stopping',
+      acceptsUntilMs: nowMs + Math.min(MAX_OPEN_PERIOD_MS, shutdownGraceMs * OPEN_PERIOD_SHARE),
+      endsAtMs: nowMs + shutdownGraceMs * OUTCOME_SHARE,
+    });
     this.membership.post({ type: 'stop' });
     this.listener.post({ type: 'drain' });
-    this.timers.subscribe({ mailbox: this, message: { type: 'accept-period-ended' as const }, delayMs: this.settings.shutdownGraceMs * ACCEPT_PERIOD_SHARE });
+    this.timers.subscribe({ mailbox: this, message: { type: 'accept-period-ended' as const }, delayMs: shutdownGraceMs * ACCEPT_PERIOD_SHARE });
   }
 
   /** Resolves when the process may exit. */
@@ -219,7 +233,7 @@
   /** @internal */
   post(message: ProcessMessage): void {
     if (message.type === 'accept-period-ended') this.listener.post({ type: 'close-listener' });
-    const graceEnded = this.timers.getNowMs() >= this.graceEndsAtMs - EXIT_MARGIN_MS;
+    const graceEnded = this.timers.getNowMs() >= this.exitsAtMs;
     if (this.listener.countOpenRequests() > 0 && !graceEnded) {
       this.timers.subscribe({ mailbox: this, message: { type: 'drain-check' as const }, delayMs: DRAIN_CHECK_INTERVAL_MS });
       return;
--- a/packages/front/test/callers/FrontListener.test.ts
+++ b/packages/front/test/callers/FrontListener.test.ts
@@ -185,4 +185,15 @@
     tested.answer(tested.listArrivals()[0]!.requestId, 'late');
     await vitest.vi.waitFor(() => vitest.expect(caller.received).toMatch(/connection: close[^]*late$/i));
   });
+
+  vitest.it('counts a request as open until its caller has received the whole response, so that no exit of the process cuts it', async () => {
+    caller.socket.pause();
+    caller.socket.write(buildRequest('r1'));
+    await vitest.vi.waitFor(() => vitest.expect(tested.listArrivals()).toHaveLength(1));
+    // More than the buffers of both sockets hold.
+    tested.answer(tested.listArrivals()[0]!.requestId, 'x'.repeat(16_000_000));
+    vitest.expect(tested.listener.countOpenRequests()).toBe(1);
+    caller.socket.resume();
+    await vitest.vi.waitFor(() => vitest.expect(tested.listener.countOpenRequests()).toBe(0), 5_000);
+  });
 });
--- a/packages/gateway/src/callers/RoutedRequestMessage.ts
+++ b/packages/gateway/src/callers/RoutedRequestMessage.ts
@@ -21,8 +21,9 @@
   | { readonly type: 'hold-expired'; readonly requestId: string }
   // Evidence was received from another VM.
   | { readonly type: 'peer-evidence'; readonly from: string; readonly rows: readonly instanceEvidence.InstanceEvidence[] }
-  // The VM is being stopped; its process ends at `endsAtMs`.
-  | { readonly type: 'stopping'; readonly endsAtMs: number }
+  // The VM is being stopped. All requests must have an outcome at `endsAtMs`; until `acceptsUntilMs`, requests are accepted although they
+  // may take longer than that.
+  | { readonly type: 'stopping'; readonly acceptsUntilMs: number; readonly endsAtMs: number }
   // A reload of the settings changed the retry budget.
   | { readonly type: 'budget-changed'; readonly budget: retryBudget.RetryBudgetOptions }
   // Timer: evidence about instances is to be sent to the other VMs.
--- a/packages/gateway/src/callers/RoutedRequestTask.ts
+++ b/packages/gateway/src/callers/RoutedRequestTask.ts
@@ -81,7 +81,10 @@
 
   private nextAttempt = 0;
 
-  // Time at which the process ends, once the VM is being stopped.
+  // Times after which no request that may take longer than the process runs is accepted, and at which all requests must have an outcome,
+  // once the VM is being stopped.
+  private acceptsUntilMs = Infinity;
+
   private endsAtMs = Infinity;
 
   private readonly gossip = new evidenceGossip.EvidenceGossip();
@@ -143,7 +146,7 @@
         this.services.applyEvidence(message.from, message.rows, this.options.timers.getNowMs());
         break;
       case 'stopping':
-        this.endsAtMs = message.endsAtMs;
+        this.beginStopping(message.acceptsUntilMs, message.endsAtMs);
         break;
       case 'budget-changed':
         this.services.applyBudget(message.budget);
@@ -175,8 +178,9 @@
       return;
     }
     const allowedMs = Math.min(found.timeoutMs, arrival.deadlineMs ?? DEFAULT_DEADLINE_MS);
-    // An instance might still be processing the request when this process ends.
-    if (arrival.arrivedAtMs + allowedMs > this.endsAtMs) {
+    // An instance might still be processing the request when this process ends. Most requests take much less time than they are allowed, so
+    // that early in the stop it is better to try.
+    if (nowMs > this.acceptsUntilMs && arrival.arrivedAtMs + allowedMs > this.endsAtMs) {
       this.reporter.refuseArrival(arrival, 'stopping');
       return;
     }
@@ -185,7 +189,7 @@
       route: found,
       service,
       durations: this.routes.getDurations(found),
-      deadlineAtMs: arrival.arrivedAtMs + allowedMs,
+      deadlineAtMs: Math.min(arrival.arrivedAtMs + allowedMs, this.endsAtMs),
     });
     const serviceEntry = this.services.getService(service);
     serviceEntry.budget.addRequest(nowMs);
@@ -196,6 +200,13 @@
     this.enqueueRequest(request, serviceEntry);
   }
 
+  private beginStopping(acceptsUntilMs: number, endsAtMs: number): void {
+    this.acceptsUntilMs = acceptsUntilMs;
+    this.endsAtMs = endsAtMs;
+    // Requests that could take longer than the process runs get an outcome before it ends.
+    this.requests.forEach((request) => this.subscribe(request, 'deadline-reached', Math.max(0, endsAtMs - this.options.timers.getNowMs())));
+  }
+
   // A VM that has just started receives its routes within a short time, so requests are held until then.
   private enqueueHeld(arrival: requestArrival.RequestArrival): 'held' | 'full' {
     const delayMs = this.heldRequests.add(arrival);
--- a/packages/gateway/test/callers/RoutedRequestTask.test.ts
+++ b/packages/gateway/test/callers/RoutedRequestTask.test.ts
@@ -162,7 +162,7 @@
 
   vitest.it('refuses a request while stopping if an instance might still be processing it when the process ends', () => {
     const tested = new testGateway.TestGateway([NON_IDEMPOTENT], INSTANCES);
-    tested.task.post({ type: 'stopping', endsAtMs: 5_600 });
+    tested.task.post({ type: 'stopping', acceptsUntilMs: 3_000, endsAtMs: 5_600 });
     tested.timers.advanceTo(3_500);
     vitest.expect(tested.findOutcome(tested.sendRequest('/x/1', 2_000))).toBeUndefined();
     tested.timers.advanceTo(3_700);
@@ -254,4 +254,34 @@
     tested.timers.advanceTo(40_000);
     vitest.expect(wakeUps).not.toHaveBeenCalled();
   });
+
+  vitest.describe('during a stop that is shorter than the deadlines', () => {
+    const patient = testRoute.buildRoute({ timeoutMs: 12_000, objectiveMs: 10_000 });
+
+    function buildStopping(instances = INSTANCES): testGateway.TestGateway {
+      const tested = new testGateway.TestGateway([patient], instances);
+      tested.task.post({ type: 'stopping', acceptsUntilMs: 3_000, endsAtMs: 5_400 });
+      return tested;
+    }
+
+    vitest.it('serves a request that arrives early, and passes on no more time than the process runs', () => {
+      const tested = buildStopping();
+      tested.timers.advanceTo(1_000);
+      const id = tested.sendRequest('/x/1', 12_000);
+      const [attempt] = tested.listAttempts();
+      vitest.expect(attempt?.deadlineMs).toBeLessThanOrEqual(4_400);
+      tested.endAttempt(attempt!.attemptId);
+      vitest.expect(tested.findOutcome(id)).toMatchObject({ type: 'answer' });
+    });
+
+    vitest.it('gives every request an outcome before the process ends, and says `not run` only to those that were not sent', () => {
+      const tested = new testGateway.TestGateway([patient], [testRoute.buildInstance('i1', { slots: 1 })]);
+      const ids = Array.from({ length: 3 }, () => tested.sendRequest('/x/1', 12_000));
+      tested.task.post({ type: 'stopping', acceptsUntilMs: 3_000, endsAtMs: 5_400 });
+      tested.timers.advanceTo(5_400);
+      vitest.expect(ids.map((id) => tested.findOutcome(id))).toMatchObject([{ reason: 'timed-out' }, { reason: 'timed-out' }, { type: 'refuse' }]);
+      vitest.expect(['overloaded', 'too-late']).toContain((tested.findOutcome(ids[2]!) as { readonly reason: string }).reason);
+      vitest.expect(tested.task.countRequests()).toBe(0);
+    });
+  });
 });
