Report an unknown outcome if a request is cancelled while addresses are looked up again

Cause: IdempotentFlow.run returned not-run when it was cancelled during a later look-up, although an earlier attempt had ended unknown. Ruled out: OperationFlow, which runs again only after not-run. Change: the failure passes endWithFailure.

--- a/packages/caller/src/callers/IdempotentFlow.ts
+++ b/packages/caller/src/callers/IdempotentFlow.ts
@@ -15,7 +15,7 @@
 
   override async run(): Promise<requestFlow.FlowResult> {
     const addressSet = await this.findAddressSet();
-    if (this.isCancelled()) return neverthrow.err({ type: 'not-run', reason: 'cancelled' });
+    if (this.isCancelled()) return this.endWithFailure({ type: 'not-run', reason: 'cancelled' });
     if (addressSet === undefined) return this.runAfterDelay(MIN_RETRY_DELAY_MS, { type: 'not-run', reason: 'no-vm' });
     return this.sendWithFailover(this.options.addressBook.sortAddresses(addressSet.addresses));
   }
