Send evidence to other places four times a second instead of thirteen

Ruled out: no counts to other places at all (under overload all VMs use the instances of all places).

Change: EvidenceBatch keeps the latest evidence about each instance and sends it to other places every 250 ms, a likely gray failure at once. The load replay sends evidence in the same way.

--- a/packages/gateway/src/vms/MembershipTask.ts
+++ b/packages/gateway/src/vms/MembershipTask.ts
@@ -3,6 +3,7 @@
 import type * as gatewayOutput from '../callers/GatewayOutput.js';
 import type * as catalogMessage from '../contracts/CatalogMessage.js';
 import type * as instanceEvidence from '../upstreams/InstanceEvidence.js';
+import * as evidenceBatch from './EvidenceBatch.js';
 import * as frontChoice from './FrontChoice.js';
 import * as peerVm from './PeerVm.js';
 import type * as membershipMessage from './MembershipMessage.js';
@@ -116,6 +117,9 @@
   // Hosts of the fronts of the other places.
   private otherFronts: readonly string[] = [];
 
+  // Evidence for the fronts of other places.
+  private readonly batch = new evidenceBatch.EvidenceBatch();
+
   private seedHosts: readonly string[];
 
   private validityMs: number;
@@ -187,6 +191,7 @@
     this.pruneVms(nowMs);
     this.updateRole();
     this.sendPeriodicHeartbeats(nowMs);
+    this.sendRows(this.otherFronts, this.batch.takeDue(nowMs));
     this.startTimer();
   }
 
@@ -297,11 +302,16 @@
     this.options.catalog.post({ type: 'role-chosen', role });
   }
 
-  // Evidence is sent to the fronts of all places only, since they route nearly all requests.
+  // Evidence is sent to the fronts only, since they route nearly all requests.
   private sendEvidence(rows: readonly instanceEvidence.InstanceEvidence[]): void {
+    this.sendRows(this.fronts, rows);
+    this.sendRows(this.otherFronts, this.batch.add(rows, this.options.timers.getNowMs()));
+  }
+
+  private sendRows(hosts: readonly string[], rows: readonly instanceEvidence.InstanceEvidence[]): void {
     const { self, outbox } = this.options;
-    const hosts = [...this.fronts, ...this.otherFronts].filter((host) => host !== self.host);
-    outbox.post({ type: 'send-evidence', hosts, notice: { from: self.name, rows } });
+    const others = hosts.filter((host) => host !== self.host);
+    if (rows.length > 0 && others.length > 0) outbox.post({ type: 'send-evidence', hosts: others, notice: { from: self.name, rows } });
   }
 
   private listFronts(place: string): string[] {
--- a/packages/gateway/src/vms/index.ts
+++ b/packages/gateway/src/vms/index.ts
@@ -1,3 +1,4 @@
+export * from './EvidenceBatch.js';
 export * from './FrontChoice.js';
 export * from './PeerVm.js';
 export type * from './MembershipMessage.js';
--- a/packages/gateway/test/LoadReplay.ts
+++ b/packages/gateway/test/LoadReplay.ts
@@ -10,6 +10,7 @@
 // Delays in one direction, between a VM and an instance and between two VMs.
 const PLACE_DELAY_MS = 4.5;
 const PEER_DELAY_MS = 6;
+const TICK_MS = 250;
 const RETRY_SLACK_PER_VM = 5;
 
 // Span within which most of the healthy instances must receive requests, as the rules of the users require.
@@ -63,6 +64,9 @@
 
   private readonly instances = new Map<string, simulatedInstance.SimulatedInstance>();
 
+  // Evidence of each VM for the VMs of other places.
+  private readonly batches: gateway.vms.EvidenceBatch[] = [];
+
   private readonly vms: gateway.callers.RoutedRequestTask[] = [];
 
   private readonly arrivals = new Map<string, { readonly route: string; readonly atMs: number; sent: number }>();
@@ -90,6 +94,7 @@
   /** Replays the whole pattern. */
   run(): void {
     this.pattern.routes.forEach((route) => this.scheduleArrival(route.name));
+    this.vms.forEach((_, vm) => this.scheduleBatch(vm));
     this.scheduleUseCheck(2 * USE_SPAN_MS);
     this.timers.advanceTo(this.pattern.lengthMs + 5_000);
   }
@@ -134,6 +139,7 @@
       budget: { ratio: 0.16, slack: RETRY_SLACK_PER_VM, windowMs: 10_000 },
     });
     this.vms.push(task);
+    this.batches.push(new gateway.vms.EvidenceBatch());
     task.post({
       type: 'configuration-changed',
       configuration: testRoute.buildConfiguration(1, this.pattern.routes.map((route) => testRoute.buildRoute({
@@ -215,8 +221,8 @@
         this.endAttempt(`${vm}/${output.attemptId}`, { type: 'cancelled' });
         break;
       case 'evidence-found':
-        this.schedule(PEER_DELAY_MS, () => this.vms.filter((_, other) => other !== vm)
-          .forEach((other) => other.post({ type: 'peer-evidence', from: String(vm), rows: this.selectEvidence(output.rows) })));
+        this.sendEvidence(vm, output.rows, 'same-place');
+        this.sendEvidence(vm, this.batches[vm]!.add(output.rows, this.timers.getNowMs()), 'other-place');
         break;
       case 'answer':
       case 'refuse':
@@ -227,6 +233,24 @@
     }
   }
 
+  private sendEvidence(vm: number, rows: readonly gateway.upstreams.InstanceEvidence[], to: 'same-place' | 'other-place'): void {
+    if (rows.length === 0) return;
+    const placeOf = (index: number): number => Math.floor(index / this.pattern.vmsPerPlace);
+    const others = this.vms.filter((_, other) => other !== vm && (placeOf(other) === placeOf(vm)) === (to === 'same-place'));
+    this.schedule(PEER_DELAY_MS, () => others.forEach((other) => {
+      other.post({ type: 'peer-evidence', from: String(vm), rows: this.selectEvidence(rows) });
+    }));
+  }
+
+  // Each VM looks for evidence to send when its membership task is woken up.
+  private scheduleBatch(vm: number): void {
+    if (this.timers.getNowMs() >= this.pattern.lengthMs) return;
+    this.schedule(TICK_MS, () => {
+      this.sendEvidence(vm, this.batches[vm]!.takeDue(this.timers.getNowMs()), 'other-place');
+      this.scheduleBatch(vm);
+    });
+  }
+
   // If the numbers of requests in flight are not exchanged, they are replaced by zero.
   private selectEvidence(rows: readonly gateway.upstreams.InstanceEvidence[]): readonly gateway.upstreams.InstanceEvidence[] {
     return this.loadGossip === 'enabled' ? rows : rows.map((row) => ({ ...row, inFlight: 0 }));
--- a/packages/gateway/test/vms/MembershipTask.test.ts
+++ b/packages/gateway/test/vms/MembershipTask.test.ts
@@ -145,3 +145,24 @@
     vitest.expect(vms.listFronts('a-1', 'c')).toEqual(['a-1', 'a-2']);
   });
 });
+
+vitest.describe('EvidenceBatch', () => {
+  const build = (instance: string, deviation: number, inFlight: number): gateway.upstreams.InstanceEvidence => ({
+    instance, service: 's1', deviation, inFlight,
+  });
+
+  vitest.it('sends the latest load of each instance to other places a few times a second, including the last one', () => {
+    const batch = new gateway.vms.EvidenceBatch();
+    vitest.expect(batch.add([build('i1', 0, 1)], 0)).toHaveLength(1);
+    vitest.expect(batch.add([build('i1', 0, 2)], 75)).toEqual([]);
+    vitest.expect(batch.add([build('i1', 0, 0)], 150)).toEqual([]);
+    vitest.expect(batch.takeDue(250)).toEqual([build('i1', 0, 0)]);
+    vitest.expect(batch.takeDue(500)).toEqual([]);
+  });
+
+  vitest.it('sends a likely gray failure to other places at once', () => {
+    const batch = new gateway.vms.EvidenceBatch();
+    batch.add([build('i1', 0, 1)], 0);
+    vitest.expect(batch.add([build('i2', 2.5, 0)], 10)).toEqual([build('i2', 2.5, 0)]);
+  });
+});
