Read the store after a restart instead of using a catalog of another VM that was not confirmed for long

Ruled out by tests: responses in chunks that break off (end, reset, silence), silence in each framing, an instance that is no longer published while it runs a request: these tests pass before and after.

Measured: of the new tests one fails on the code before (a fetch from the unconfirmed VM).

--- a/packages/front/test/upstreams/RoutedConnections.test.ts
+++ b/packages/front/test/upstreams/RoutedConnections.test.ts
@@ -104,6 +104,30 @@
     vitest.expect(await tested.sendAttempt(port, 'q1')).toMatchObject({ type: 'answered' });
   });
 
+  vitest.it.each([
+    ['an orderly close', (socket: net.Socket) => socket.end()],
+    ['a reset', (socket: net.Socket) => socket.resetAndDestroy()],
+  ] as const)('returns no response in chunks that ends by %s before the last chunk', async (_, endConnection) => {
+    const port = await startInstance((socket, id) => {
+      socket.write(`HTTP/1.1 200 OK\r\nrequest-id: ${id}\r\nseal: 1\r\ntransfer-encoding: chunked\r\n\r\n4\r\npart\r\n`, () => endConnection(socket));
+    });
+    vitest.expect(await tested.sendAttempt(port, 'q1')).toEqual({ type: 'broken' });
+  });
+
+  vitest.it.each([
+    ['a length', 'content-length: 9\r\n\r\npart'],
+    ['chunks', 'transfer-encoding: chunked\r\n\r\n4\r\npart\r\n'],
+    ['no length', '\r\npart'],
+  ])('does not take silence for the end of a response with %s', async (_, text) => {
+    const port = await startInstance((socket, id) => socket.write(`HTTP/1.1 200 OK\r\nrequest-id: ${id}\r\nseal: 1\r\n${text}`));
+    const sent = tested.sendAttempt(port, 'q1');
+    await new Promise((resolve) => {
+      new core.time.SystemTimerService().subscribe({ mailbox: { post: resolve }, message: undefined, delayMs: RESET_DELAY_MS });
+    });
+    tested.cancelLatest();
+    vitest.expect(await sent).toEqual({ type: 'cancelled' });
+  });
+
   vitest.it('returns no response that is shorter than its Content-Length', async () => {
     const port = await startInstance((socket, id) => socket.end(`HTTP/1.1 200 OK\r\nrequest-id: ${id}\r\nseal: 1\r\ncontent-length: 9\r\n\r\npart`));
     vitest.expect(await tested.sendAttempt(port, 'q1')).toEqual({ type: 'broken' });
--- a/packages/gateway/src/contracts/CatalogTask.ts
+++ b/packages/gateway/src/contracts/CatalogTask.ts
@@ -242,7 +242,15 @@
       this.deferredNews = received;
       return;
     }
-    if (this.contents === 'empty' && received.distance === 'other-place' && nowMs < this.awaitsPlaceUntilMs) return;
+    if (this.contents === 'empty') {
+      if (received.confirmedAgeMs > MAX_CURRENT_AGE_MS && this.storeState !== 'lost') {
+        // An instance or a route of that catalog may have been withdrawn, which this VM must not use again after a restart.
+        this.awaitsPeersUntilMs = -Infinity;
+        this.readIfNeeded();
+        return;
+      }
+      if (received.distance === 'other-place' && nowMs < this.awaitsPlaceUntilMs) return;
+    }
     this.fetchStartedAtMs = nowMs;
     this.options.outbox.post({
       type: 'fetch-update', host: received.host, afterRevision: this.contents === 'empty' ? -1 : this.catalog.getRevision(),
--- a/packages/gateway/test/callers/RoutedRequestTask.test.ts
+++ b/packages/gateway/test/callers/RoutedRequestTask.test.ts
@@ -284,4 +284,22 @@
       vitest.expect(tested.task.countRequests()).toBe(0);
     });
   });
+
+  vitest.it('neither repeats nor gives up a request whose instance is no longer published or reports no more', () => {
+    const tested = new testGateway.TestGateway([NON_IDEMPOTENT], INSTANCES);
+    const id = tested.sendRequest();
+    const [attempt] = tested.listAttempts();
+    tested.task.post({ type: 'instances-changed', records: INSTANCES.filter((record) => record.id !== attempt!.instance.id) });
+    tested.task.post({
+      type: 'peer-evidence',
+      from: 'vm-2',
+      rows: [{
+        instance: attempt!.instance.id, service: 's1', deviation: 5, inFlight: 0,
+      }],
+    });
+    tested.timers.advanceTo(1_500);
+    vitest.expect(tested.outputs.filter((output) => output.type === 'cancel-attempt' || output.type === 'send-attempt')).toHaveLength(1);
+    tested.endAttempt(attempt!.attemptId);
+    vitest.expect(tested.findOutcome(id)).toMatchObject({ type: 'answer' });
+  });
 });
--- a/packages/gateway/test/contracts/CatalogTask.test.ts
+++ b/packages/gateway/test/contracts/CatalogTask.test.ts
@@ -180,4 +180,34 @@
     });
     vitest.expect(tested.outputs.filter((output) => output.type === 'fetch-update').map((output) => output.host)).toEqual(['10.0.0.2', '10.0.0.3']);
   });
+
+  vitest.describe('when a restarted VM hears first from a VM whose catalog was not confirmed for a long time', () => {
+    function buildRestarted(): TestCatalog {
+      const tested = new TestCatalog('after-peers');
+      tested.task.post({ type: 'start' });
+      tested.timers.advanceTo(1_200);
+      return tested;
+    }
+
+    function announceStale(tested: TestCatalog): void {
+      tested.task.post({
+        type: 'peer-revision-received', host: '10.0.0.2', distance: 'same-place', revision: 5, confirmedAgeMs: 60_000,
+      });
+    }
+
+    vitest.it('reads the store instead, since an instance in that catalog may have left', () => {
+      const tested = buildRestarted();
+      announceStale(tested);
+      vitest.expect(tested.countOutputs('fetch-update')).toBe(0);
+      vitest.expect(tested.countOutputs('read-snapshot')).toBe(1);
+    });
+
+    vitest.it('uses that catalog if the store cannot be reached, rather than serving nobody', () => {
+      const tested = buildRestarted();
+      announceStale(tested);
+      tested.task.post({ type: 'read-failed', reason: 'timed-out', detail: '' });
+      announceStale(tested);
+      vitest.expect(tested.countOutputs('fetch-update')).toBe(1);
+    });
+  });
 });
