Share evidence among all VMs while a fleet starts, and send callers to few VMs at once

Evidence went to fronts only, which were not agreed on yet, and was dropped by VMs without instances.

Ruled out: a stop that leaves processes behind (the 8 processes that were killed had been stopped 2 to 4 s before the power loss at 32 s; they exit 4.5 s after the signal, when no caller has a cached address any more).

Change: for three seconds after its start, a VM sends suspicions to all VMs that it knows (64 at most) and names VMs that are starting as fronts; evidence that arrives before the first instances is kept for two seconds.

--- a/packages/gateway/src/callers/ServiceTable.ts
+++ b/packages/gateway/src/callers/ServiceTable.ts
@@ -7,6 +7,17 @@
 import type * as retryBudget from './RetryBudget.js';
 import * as routedService from './RoutedService.js';
 
+// Evidence that arrives before the first instances is kept for this time, since the others may have started a moment earlier and already
+// lost requests. The number bounds its memory.
+const MAX_EARLY_AGE_MS = 2_000;
+const MAX_EARLY_NOTICES = 500;
+
+interface EarlyNotice {
+  readonly from: string;
+  readonly rows: readonly instanceEvidence.InstanceEvidence[];
+  readonly atMs: number;
+}
+
 /** Options of a `ServiceTable`. */
 export interface ServiceTableOptions {
   /** Place of the VM. */
@@ -23,6 +34,9 @@
   // Instances that this VM has used and about which it may have evidence.
   private readonly used = new Set<pooledInstance.PooledInstance>();
 
+  // Evidence of other VMs that arrived before the first instances.
+  private readonly early: EarlyNotice[] = [];
+
   private budget: retryBudget.RetryBudgetOptions;
 
   /** @param options - Place of the VM, random source and retry budget. */
@@ -81,6 +95,9 @@
     });
     byService.forEach((_, service) => this.getService(service));
     this.entries.forEach((entry, service) => entry.pool.setInstances(byService.get(service) ?? [], nowMs));
+    this.early.filter((notice) => nowMs - notice.atMs <= MAX_EARLY_AGE_MS)
+      .forEach((notice) => this.applyRows(notice.from, notice.rows, notice.atMs));
+    this.early.length = 0;
   }
 
   /**
@@ -90,6 +107,11 @@
    * @param nowMs - Current time.
    */
   applyEvidence(from: string, rows: readonly instanceEvidence.InstanceEvidence[], nowMs: number): void {
+    if (this.entries.size > 0) this.applyRows(from, rows, nowMs);
+    else if (this.early.length < MAX_EARLY_NOTICES) this.early.push({ from, rows, atMs: nowMs });
+  }
+
+  private applyRows(from: string, rows: readonly instanceEvidence.InstanceEvidence[], nowMs: number): void {
     rows.forEach((row) => this.entries.get(row.service)?.pool.getInstance(row.instance)?.recordPeerEvidence(from, row, nowMs));
   }
 
--- a/packages/gateway/src/vms/EvidenceBatch.ts
+++ b/packages/gateway/src/vms/EvidenceBatch.ts
@@ -20,7 +20,15 @@
    */
   add(rows: readonly instanceEvidence.InstanceEvidence[], nowMs: number): readonly instanceEvidence.InstanceEvidence[] {
     rows.forEach((row) => this.pending.set(row.instance, row));
-    return rows.some((row) => row.deviation >= URGENT_DEVIATION) ? this.takeAll(nowMs) : this.takeDue(nowMs);
+    return rows.some((row) => EvidenceBatch.isUrgent(row)) ? this.takeAll(nowMs) : this.takeDue(nowMs);
+  }
+
+  /**
+   * Whether evidence shows a likely gray failure.
+   * @param row - Evidence.
+   */
+  static isUrgent(row: instanceEvidence.InstanceEvidence): boolean {
+    return row.deviation >= URGENT_DEVIATION;
   }
 
   /**
--- a/packages/gateway/src/vms/MembershipTask.ts
+++ b/packages/gateway/src/vms/MembershipTask.ts
@@ -57,6 +57,11 @@
 const LATE_TICK_MS = 120;
 const SLOW_TICKS = 8;
 
+// For this time after its start a VM does not know yet who the fronts are. If many VMs start together, callers reach most of them, so that
+// each tells all VMs that it knows about failing instances, up to this number, and counts VMs that are still starting as fronts.
+const START_SPAN_MS = 3_000;
+const MAX_START_EVIDENCE_HOSTS = 64;
+
 /** Options of a `MembershipTask`. */
 export interface MembershipTaskOptions {
   readonly scheduler: core.tasks.TaskScheduler;
@@ -93,6 +98,8 @@
 
   private ticks = 0;
 
+  private startedAtMs = 0;
+
   private lastTickMs = 0;
 
   // Number of ticks until the next timer message: a reserve is woken up for several ticks at once.
@@ -145,7 +152,8 @@
   override handle(message: membershipMessage.MembershipMessage): void {
     switch (message.type) {
       case 'start':
-        this.lastTickMs = this.options.timers.getNowMs();
+        this.startedAtMs = this.options.timers.getNowMs();
+        this.lastTickMs = this.startedAtMs;
         this.startTimer();
         this.sendHeartbeat(this.seedHosts, 'wanted');
         this.updateRole();
@@ -304,8 +312,18 @@
 
   // Evidence is sent to the fronts only, since they route nearly all requests.
   private sendEvidence(rows: readonly instanceEvidence.InstanceEvidence[]): void {
+    const nowMs = this.options.timers.getNowMs();
     this.sendRows(this.fronts, rows);
-    this.sendRows(this.otherFronts, this.batch.add(rows, this.options.timers.getNowMs()));
+    this.sendRows(this.otherFronts, this.batch.add(rows, nowMs));
+    if (!this.isStarting(nowMs)) return;
+    const urgent = rows.filter((row) => evidenceBatch.EvidenceBatch.isUrgent(row));
+    const hosts = this.listReachable().map((vm) => vm.getLastReport().host)
+      .filter((host) => !this.fronts.includes(host) && !this.otherFronts.includes(host));
+    this.sendRows(this.options.random.shuffleItems(hosts).slice(0, MAX_START_EVIDENCE_HOSTS), urgent);
+  }
+
+  private isStarting(nowMs: number): boolean {
+    return nowMs - this.startedAtMs < START_SPAN_MS;
   }
 
   private sendRows(hosts: readonly string[], rows: readonly instanceEvidence.InstanceEvidence[]): void {
@@ -317,10 +335,11 @@
   private listFronts(place: string): string[] {
     const { self, frontsPerPlace } = this.options;
     const nowMs = this.options.timers.getNowMs();
-    const fronts = this.rankPlace(place, nowMs).slice(0, frontsPerPlace);
+    const leastState = this.isStarting(nowMs) ? 'starting' : 'slow';
+    const fronts = this.rankPlace(place, nowMs, leastState).slice(0, frontsPerPlace);
     if (fronts.length > 0) return fronts.map((vm) => vm.host);
     // Callers of a place without a usable VM are sent to the fronts of the place of this VM.
-    const ownFronts = this.rankPlace(self.place, nowMs).slice(0, frontsPerPlace);
+    const ownFronts = this.rankPlace(self.place, nowMs, leastState).slice(0, frontsPerPlace);
     return ownFronts.length > 0 ? ownFronts.map((vm) => vm.host) : [self.host];
   }
 
--- a/packages/gateway/test/FleetReplay.test.ts
+++ b/packages/gateway/test/FleetReplay.test.ts
@@ -51,4 +51,27 @@
     const answers = new Set([...fleet.vms.values()].map((vm) => `${vm.place}: ${[...fleet.listFronts(vm)].sort().join(' ')}`));
     vitest.expect(answers.size).toBe(3);
   });
+
+  vitest.it('sends callers to a few VMs of each place soon after all VMs have started together', () => {
+    const fleet = new fleetReplay.FleetReplay(3, 20, 6);
+    fleet.timers.advanceTo(700);
+    const hosts = new Set([...fleet.vms.values()].flatMap((vm) => fleet.listFronts(vm)));
+    vitest.expect(hosts.size).toBeLessThanOrEqual(fleet.vms.size / 3);
+  });
+
+  vitest.it('tells all VMs that it knows about a failing instance while a fleet starts, and the fronts only later', () => {
+    const fleet = new fleetReplay.FleetReplay(2, 10, 7);
+    fleet.timers.advanceTo(1_500);
+    const [vm] = fleet.listReserves();
+    const rows = [{
+      instance: 'i1', service: 's1', deviation: 2.5, inFlight: 0,
+    }];
+    vm!.membership.post({ type: 'evidence-found', rows });
+    // All of its place, and those of the other place that it has met.
+    vitest.expect(fleet.evidenceHosts.size).toBeGreaterThanOrEqual(9);
+    fleet.evidenceHosts.clear();
+    fleet.timers.advanceTo(20_000);
+    vm!.membership.post({ type: 'evidence-found', rows });
+    vitest.expect(fleet.evidenceHosts.size).toBe(4);
+  });
 });
--- a/packages/gateway/test/FleetReplay.ts
+++ b/packages/gateway/test/FleetReplay.ts
@@ -37,6 +37,9 @@
 
   readonly vms = new Map<string, FleetVm>();
 
+  /** Hosts that evidence was sent to. */
+  readonly evidenceHosts = new Set<string>();
+
   private readonly random: core.randomness.RandomSource;
 
   /**
@@ -122,6 +125,9 @@
       case 'send-heartbeat':
         output.hosts.forEach((host) => this.sendHeartbeat(vm, host, output.heartbeat));
         break;
+      case 'send-evidence':
+        output.hosts.forEach((host) => this.evidenceHosts.add(host));
+        break;
       case 'read-snapshot':
         // The configuration and eight pages of instances.
         vm.storeCalls += 9;
--- a/packages/gateway/test/callers/RoutedRequestTask.test.ts
+++ b/packages/gateway/test/callers/RoutedRequestTask.test.ts
@@ -302,4 +302,16 @@
     tested.endAttempt(attempt!.attemptId);
     vitest.expect(tested.findOutcome(id)).toMatchObject({ type: 'answer' });
   });
+
+  vitest.it('uses evidence of other VMs that arrived before its first instances', () => {
+    const tested = new testGateway.TestGateway(undefined, INSTANCES);
+    const failing = INSTANCES.slice(0, 2).map((record) => ({
+      instance: record.id, service: 's1', deviation: 5, inFlight: 0,
+    }));
+    ['vm-2', 'vm-3'].forEach((from) => tested.task.post({ type: 'peer-evidence', from, rows: failing }));
+    tested.timers.advanceTo(300);
+    tested.applyConfiguration([NON_IDEMPOTENT], INSTANCES);
+    tested.sendRequest();
+    vitest.expect(tested.listAttempts()[0]?.instance.id).toBe(INSTANCES[2]!.id);
+  });
 });
