Let the retry of an idempotent request wait for a sound instance, and measure the decisions of the front process

Change: a retry that no instance accepts waits in the queue, one rank behind first attempts, and passes the server error on if it cannot be sent in time.

--- a/packages/gateway/src/callers/RoutedRequestTask.ts
+++ b/packages/gateway/src/callers/RoutedRequestTask.ts
@@ -284,8 +284,9 @@
   private sendAttempt(request: routedRequest.RoutedRequest, serviceEntry: routedService.RoutedService): boolean {
     const nowMs = this.options.timers.getNowMs();
     const chosen = RoutedRequestTask.chooseInstance(request, serviceEntry, nowMs, RoutedRequestTask.computeUrgency(request, nowMs));
-    if (chosen !== undefined) this.sendTo(chosen, request, serviceEntry);
-    return chosen !== undefined;
+    if (chosen === undefined || (request.countSent() > 0 && !serviceEntry.budget.take(nowMs))) return false;
+    this.sendTo(chosen, request, serviceEntry);
+    return true;
   }
 
   private sendTo(
@@ -352,7 +353,7 @@
       case 'answered':
         if (kind === 'idempotent' && ending.answer.status >= 500) {
           request.failedAnswer = ending.answer;
-          if (request.hasOpenAttempt() || this.retryRequest(request)) return;
+          if (request.hasOpenAttempt() || this.retryRequest(request) || this.enqueueRetry(request)) return;
         }
         this.answer(request, ending.answer);
         return;
@@ -369,8 +370,7 @@
         if (kind === 'idempotent' && (request.hasOpenAttempt() || this.retryRequest(request))) return;
         break;
     }
-    if (request.failedAnswer !== undefined) this.answer(request, request.failedAnswer);
-    else this.refuse(request, request.execution === 'may-have-run' ? 'unknown' : 'overloaded');
+    this.refuse(request, request.execution === 'may-have-run' ? 'unknown' : 'overloaded');
   }
 
   // An instance that could not be reached has received nothing, so the request is sent or queued as if it had just arrived.
@@ -397,11 +397,25 @@
     return true;
   }
 
+  // If only instances that probably fail have free capacity, the retry waits for another one: an instance that fails at once always has
+  // free slots, and would use up the retries.
+  private enqueueRetry(request: routedRequest.RoutedRequest): boolean {
+    const { route, service, durations } = request.options;
+    const nowMs = this.options.timers.getNowMs();
+    if (request.countSent() >= route.maxAttempts || request.attempts.length >= MAX_TOTAL_ATTEMPTS) return false;
+    if (request.computeRemainingMs(nowMs) < durations.estimateQuantile(SERVICE_TIME_QUANTILE)) return false;
+    const serviceEntry = this.services.getService(service);
+    if (this.decideWaiting(request, serviceEntry, serviceEntry.queue.countServedBefore(request)) === 'refuse') return false;
+    request.state = 'waiting';
+    serviceEntry.queue.add(request);
+    this.startQueueTimer();
+    return true;
+  }
+
   private handleDeadline(requestId: string): void {
     const request = this.requests.get(requestId);
     if (request === undefined) return;
-    if (request.failedAnswer !== undefined) this.answer(request, request.failedAnswer);
-    else if (request.attempts.length === 0) this.refuse(request, 'too-late');
+    if (request.attempts.length === 0) this.refuse(request, 'too-late');
     else this.refuse(request, request.hasOpenAttempt() || request.execution === 'may-have-run' ? 'timed-out' : 'too-late');
   }
 
@@ -423,6 +437,10 @@
   }
 
   private refuse(request: routedRequest.RoutedRequest, reason: requestArrival.RefusalReason): void {
+    if (request.failedAnswer !== undefined) {
+      this.answer(request, request.failedAnswer);
+      return;
+    }
     const serviceEntry = this.services.getService(request.options.service);
     this.reporter.refuse(request, reason, this.buildLoad(request, serviceEntry, serviceEntry.queue.countServedBefore(request)));
     this.recordOutcome(request, 'unserved');
--- a/packages/gateway/src/callers/WaitQueue.ts
+++ b/packages/gateway/src/callers/WaitQueue.ts
@@ -53,6 +53,8 @@
   }
 
   private static computeOrder(request: routedRequest.RoutedRequest): number {
-    return request.options.arrival.arrivedAtMs + request.options.route.rank * RANK_STEP_MS;
+    // A retry yields to requests that wait for their first attempt.
+    const steps = request.options.route.rank + (request.countSent() > 0 ? 1 : 0);
+    return request.options.arrival.arrivedAtMs + steps * RANK_STEP_MS;
   }
 }
--- a/packages/gateway/test/LoadReplay.test.ts
+++ b/packages/gateway/test/LoadReplay.test.ts
@@ -9,6 +9,7 @@
   ['moderate load', loadPatterns.MODERATE], ['overload', loadPatterns.OVERLOAD], ['burst', loadPatterns.BURST], ['slow instances', loadPatterns.SLOW],
   ['shedding instances', loadPatterns.SHEDDING],
 ];
+const CROWDED = ['instances that fail at once in a crowded service', loadPatterns.CROWDED_FAIL_FAST] as const;
 const MOSTLY_GRAY = ['mostly gray instances', loadPatterns.MOSTLY_GRAY] as const;
 
 // The target of the users for a day with faults requires that about 96 of 100 requests are served.
@@ -92,7 +93,7 @@
     });
   });
 
-  vitest.it.each([...PATTERNS, MOSTLY_GRAY])('keeps the retries within the budget of all VMs (%s)', (_, pattern) => {
+  vitest.it.each([...PATTERNS, MOSTLY_GRAY, CROWDED])('keeps the retries within the budget of all VMs (%s)', (_, pattern) => {
     SEEDS.forEach((seed) => {
       const replay = replayPattern(pattern, seed);
       const requests = [...replay.results.values()].reduce((sum, result) => sum + result.requests, 0);
--- a/packages/gateway/test/callers/RoutedRequestTask.test.ts
+++ b/packages/gateway/test/callers/RoutedRequestTask.test.ts
@@ -314,4 +314,29 @@
     tested.sendRequest();
     vitest.expect(tested.listAttempts()[0]?.instance.id).toBe(INSTANCES[2]!.id);
   });
+
+  vitest.it('lets the retry of an idempotent request wait for a free slot instead of passing a server error on at once', () => {
+    const instances = ['i1', 'i22'].map((id) => testRoute.buildInstance(id, { slots: 1 }));
+    const tested = new testGateway.TestGateway([IDEMPOTENT], instances);
+    const ids = Array.from({ length: 4 }, () => tested.sendRequest());
+    const [failed] = tested.listAttempts();
+    tested.endAttempt(failed!.attemptId, testGateway.TestGateway.buildAnswer(500));
+    vitest.expect(tested.findOutcome(ids[0]!)).toBeUndefined();
+    tested.listAttempts()
+      .filter((attempt) => attempt.instance.id !== failed!.instance.id)
+      .forEach((attempt) => tested.endAttempt(attempt.attemptId));
+    const retry = tested.listAttempts().findLast((attempt) => attempt.arrival.requestId === ids[0]);
+    vitest.expect(retry?.instance.id).not.toBe(failed!.instance.id);
+    tested.endAttempt(retry!.attemptId);
+    vitest.expect(tested.findOutcome(ids[0]!)).toMatchObject({ type: 'answer', answer: { status: 200 } });
+  });
+
+  vitest.it('passes the server error on, and does not say `not run`, when no slot is free for the retry in time', () => {
+    const instances = ['i1', 'i22'].map((id) => testRoute.buildInstance(id, { slots: 1 }));
+    const tested = new testGateway.TestGateway([IDEMPOTENT], instances);
+    const ids = Array.from({ length: 4 }, () => tested.sendRequest());
+    tested.endAttempt(tested.listAttempts()[0]!.attemptId, testGateway.TestGateway.buildAnswer(500));
+    tested.timers.advanceTo(IDEMPOTENT.objectiveMs);
+    vitest.expect(tested.findOutcome(ids[0]!)).toMatchObject({ type: 'answer', answer: { status: 500 } });
+  });
 });
--- a/packages/gateway/test/loadPatterns.ts
+++ b/packages/gateway/test/loadPatterns.ts
@@ -122,3 +122,18 @@
   ...LARGE,
   gray: { ...GRAY, share: 0.5, spanMs: 4_000 },
 };
+
+/**
+ * A small service with idempotent requests only, whose instances fail at once in turn, with enough requests to fill the sound ones: an
+ * instance that fails always has free slots.
+ */
+export const CROWDED_FAIL_FAST: loadPattern.LoadPattern = {
+  ...FAIL_FAST,
+  services: [{ name: 's1', instances: 8, slots: 3 }],
+  routes: [{
+    name: 'status', service: 's1', kind: 'idempotent', perSecond: 48, workMs: 290, objectiveMs: 800, deadlineMs: 2_000, rank: 1,
+  }],
+  gray: {
+    share: 0.3, spanMs: 9_000, affectedShare: 0.75, failure: 'errors',
+  },
+};
--- a/packages/proof/src/bench/index.ts
+++ b/packages/proof/src/bench/index.ts
@@ -1,5 +1,6 @@
 export * from './FleetFixture.js';
 export * from './FleetSize.js';
+export * from './GatewayBench.js';
 export * from './LatencyBench.js';
 export * from './MeasuredVm.js';
 export * from './ProcessCost.js';
--- a/packages/proof/src/bench/main.ts
+++ b/packages/proof/src/bench/main.ts
@@ -1,5 +1,6 @@
 import * as cac from 'cac';
 
+import * as gatewayBench from './GatewayBench.js';
 import * as latencyBench from './LatencyBench.js';
 import * as slopeBench from './SlopeBench.js';
 
@@ -28,26 +29,38 @@
   ].join('\n');
 }
 
+function formatGateway(title: string, points: readonly gatewayBench.GatewayPoint[]): string {
+  return [title, ...points.map((point) => `${String(point.size).padStart(8)}  ${point.cpuMicroseconds.toFixed(1)} us`)].join('\n');
+}
+
 async function main(): Promise<void> {
   const cli = cac.cac('bench');
   cli.option('--json', 'Print one JSON object');
-  cli.option('--part <name>', 'latency, slopes or all', { default: 'all' });
+  cli.option('--part <name>', 'latency, slopes, gateway or all', { default: 'all' });
   cli.help();
   const { options } = cli.parse();
   if (options['help'] === true) return;
-  const latency = options['part'] === 'slopes' ? undefined : await new latencyBench.LatencyBench().run();
+  const part = String(options['part']);
+  const latency = part !== 'latency' && part !== 'all' ? undefined : await new latencyBench.LatencyBench().run();
   if (latency?.isErr() === true) {
     process.stderr.write(`bench: ${JSON.stringify(latency.error)}\n`);
     process.exitCode = 1;
     return;
   }
   const report = latency?.isOk() === true ? latency.value : undefined;
-  const slopes = options['part'] === 'latency' ? [] : new slopeBench.SlopeBench().run();
+  const bench = new gatewayBench.GatewayBench();
+  const requests = part === 'gateway' || part === 'all' ? bench.measureRequests() : [];
+  const vms = part === 'gateway' || part === 'all' ? bench.measureVms() : [];
+  const slopes = part !== 'slopes' && part !== 'all' ? [] : new slopeBench.SlopeBench().run();
   if (options['json'] === true) {
-    process.stdout.write(`${JSON.stringify({ latency: report, slopes })}\n`);
+    process.stdout.write(`${JSON.stringify({
+      latency: report, requests, vms, slopes,
+    })}\n`);
     return;
   }
   if (report !== undefined) process.stdout.write(`${formatLatency(report)}\n`);
+  if (requests.length > 0) process.stdout.write(`${formatGateway('front process: a request, against the instances of its service', requests)}\n`);
+  if (vms.length > 0) process.stdout.write(`${formatGateway('front process: a VM without requests in a second, against the VMs of the fleet', vms)}\n`);
   slopes.forEach((slope) => process.stdout.write(`${formatSlope(slope)}\n`));
 }
 
