Split MembershipTask into the view of the fleet and the task that sends heartbeats

MembershipTask had 460 lines with records, ranks, digests and timers. FleetView holds the records and decides who is reachable and who is a front; the task keeps timers, heartbeats, evidence and the role.

--- a/packages/gateway/src/vms/MembershipTask.ts
+++ b/packages/gateway/src/vms/MembershipTask.ts
@@ -4,32 +4,19 @@
 import type * as catalogMessage from '../contracts/CatalogMessage.js';
 import type * as instanceEvidence from '../upstreams/InstanceEvidence.js';
 import * as evidenceBatch from './EvidenceBatch.js';
-import * as frontChoice from './FrontChoice.js';
-import * as peerVm from './PeerVm.js';
+import * as fleetView from './FleetView.js';
 import type * as membershipMessage from './MembershipMessage.js';
 import type * as vmHeartbeat from './VmHeartbeat.js';
 
 // VMs that callers are sent to (fronts) send heartbeats to each other and to the VMs that would replace them (standbys) at each tick, so
 // that the loss of one is detected within a second.
 const TICK_MS = 250;
-const FRONT_TIMEOUT_MS = 1_000;
-const STANDBYS = 2;
 
 // Ticks between heartbeats of a front to the other VMs of its place (reserves), and of a standby. Reserves only answer directory requests,
-// so they wake up as rarely, and a front counts as lost for them after two missing heartbeats.
+// so they wake up as rarely. They send heartbeats to the fronts and standbys, whose digests spread the news, and to one other VM.
 const FRONT_TO_RESERVE_TICKS = 4;
 const STANDBY_TICKS = 2;
 const RESERVE_TICK_SPAN = 4;
-const FRONT_TIMEOUT_FOR_RESERVES_MS = 2_600;
-
-// Reserves send heartbeats less often, since no caller depends on them: to the fronts and standbys, whose digests spread the news, and to
-// one other VM. Their interval grows with the number of VMs in the place, so that the number of heartbeats received by a front does not.
-const MIN_RESERVE_TICKS = 4;
-const RESERVE_VMS_PER_TICK = 5;
-
-// A reserve counts as unreachable after this many of its heartbeat intervals, and the time that digests take, without news of it.
-const RESERVE_TIMEOUT_PERIODS = 3.5;
-const DIGEST_DELAY_MS = 8_000;
 
 // Ticks between heartbeats of a front to the fronts of other places, of another VM to a VM of another place, and to a seed. An isolated VM,
 // which knows no reachable VM of its place, sends heartbeats to all seeds more often.
@@ -38,20 +25,6 @@
 const SEED_TICKS = 240;
 const ISOLATED_SEED_TICKS = 2;
 
-// The record of a VM is removed when its latest report is older than this, or than twice the time-out of reserves.
-const RECORD_LIFETIME_MS = 30_000;
-
-// Heartbeats are sent to a VM of the same place until its latest report is older than this. VMs of other places are considered reachable
-// for the same time.
-const CONTACT_LIFETIME_MS = 10_000;
-
-// Digests of other VMs in a heartbeat, which take turns, and in the reply to a VM that requested one. In a large place there are more, so
-// that each reserve is mentioned well before it counts as unreachable.
-const MIN_HEARTBEAT_DIGESTS = 4;
-const MAX_HEARTBEAT_DIGESTS = 16;
-const VMS_PER_DIGEST = 5;
-const REPLY_DIGESTS = 40;
-
 // A tick that fires late by more than this shows that the VM is slowed down. The VM is then in the state `slow` for the given number of
 // ticks.
 const LATE_TICK_MS = 120;
@@ -80,10 +53,7 @@
 
 /** Owns the records of the other VMs. Determines which VMs are reachable, which are fronts, and whether this VM reads the store itself. */
 export class MembershipTask extends core.tasks.Task<membershipMessage.MembershipMessage> {
-  private readonly vms = new Map<string, peerVm.PeerVm>();
-
-  // Number of VMs of the place, including this one, at the latest tick.
-  private placeSize = 1;
+  private readonly fleet: fleetView.FleetView;
 
   private state: vmHeartbeat.VmState = 'starting';
 
@@ -105,9 +75,6 @@
   // Number of ticks until the next timer message: a reserve is woken up for several ticks at once.
   private tickSpan = 1;
 
-  // Position in the list of VMs at which the digests of the next heartbeat begin.
-  private nextDigest = 0;
-
   // Number of ticks for which this VM remains in the state `slow`.
   private slowTicks = 0;
 
@@ -116,14 +83,6 @@
 
   private timer: core.time.TimerSubscription | undefined;
 
-  // Hosts of the fronts of the place of this VM, and of the VMs that would replace them.
-  private fronts: readonly string[] = [];
-
-  private standbys: readonly string[] = [];
-
-  // Hosts of the fronts of the other places.
-  private otherFronts: readonly string[] = [];
-
   // Evidence for the fronts of other places.
   private readonly batch = new evidenceBatch.EvidenceBatch();
 
@@ -134,13 +93,14 @@
   /** @param options - Dependencies and settings of the task. */
   constructor(private readonly options: MembershipTaskOptions) {
     super(options.scheduler);
+    this.fleet = new fleetView.FleetView(options);
     this.seedHosts = options.seedHosts;
     this.validityMs = options.validityMs;
   }
 
   /** Counts the other VMs that are reachable. */
   countReachableVms(): number {
-    return this.listReachable().length;
+    return this.fleet.listReachable(this.options.timers.getNowMs()).length;
   }
 
   /** Gets the state of this VM. */
@@ -196,39 +156,32 @@
     this.ticks += this.tickSpan;
     this.slowTicks = lateMs > LATE_TICK_MS ? SLOW_TICKS : Math.max(0, this.slowTicks - this.tickSpan);
     if (this.state === 'ready' || this.state === 'slow') this.setState(this.slowTicks > 0 ? 'slow' : 'ready');
-    this.pruneVms(nowMs);
+    this.fleet.prune(nowMs).forEach((name) => this.log('vm-lost', { peer: name }));
     this.updateRole();
     this.sendPeriodicHeartbeats(nowMs);
-    this.sendRows(this.otherFronts, this.batch.takeDue(nowMs));
+    this.sendRows(this.fleet.getOtherFronts(), this.batch.takeDue(nowMs));
     this.startTimer();
   }
 
   private startTimer(): void {
-    this.tickSpan = this.getStanding() === 'reserve' ? RESERVE_TICK_SPAN : 1;
+    this.tickSpan = this.fleet.getStanding() === 'reserve' ? RESERVE_TICK_SPAN : 1;
     this.timer?.cancel();
     this.timer = this.options.timers.subscribe({ mailbox: this, message: { type: 'tick' as const }, delayMs: this.tickSpan * TICK_MS });
   }
 
-  // A VM that knows no front may become one at any time.
-  private getStanding(): 'front' | 'standby' | 'reserve' {
-    const { host } = this.options.self;
-    if (this.fronts.includes(host)) return 'front';
-    return this.fronts.length === 0 || this.standbys.includes(host) ? 'standby' : 'reserve';
-  }
-
   private sendPeriodicHeartbeats(nowMs: number): void {
     const { random } = this.options;
-    const standing = this.getStanding();
-    const closest = [...this.fronts, ...this.standbys];
-    if (standing === 'front' && this.isDue(FRONT_TO_RESERVE_TICKS)) this.sendHeartbeat(this.listTargets(nowMs), 'none');
+    const standing = this.fleet.getStanding();
+    const closest = this.fleet.getClosest();
+    if (standing === 'front' && this.isDue(FRONT_TO_RESERVE_TICKS)) this.sendHeartbeat(this.fleet.listTargets(nowMs), 'none');
     // Without digests: the closest VMs hear from all others themselves.
     else if (standing === 'front' || (standing === 'standby' && this.isDue(STANDBY_TICKS))) this.sendHeartbeat(closest, 'none', []);
-    else if (standing === 'reserve' && this.isDue(this.computeReserveTicks())) {
-      const other = random.pickItem(this.listTargets(nowMs));
+    else if (standing === 'reserve' && this.isDue(Math.ceil(this.fleet.computeReserveIntervalMs() / TICK_MS))) {
+      const other = random.pickItem(this.fleet.listTargets(nowMs));
       this.sendHeartbeat([...new Set([...closest, ...other === undefined ? [] : [other]])], 'none', []);
     }
-    if (this.isDue(OTHER_PLACE_TICKS)) this.sendToOtherPlaces(standing);
-    const isolated = this.listReachable().every((vm) => vm.getLastReport().place !== this.options.self.place);
+    if (this.isDue(OTHER_PLACE_TICKS)) this.sendToOtherPlaces(standing, nowMs);
+    const isolated = this.fleet.isIsolated(nowMs);
     if (isolated && this.isDue(ISOLATED_SEED_TICKS)) this.sendHeartbeat(this.seedHosts, 'wanted');
     else if (!isolated && this.isDue(standing === 'front' ? FRONT_SEED_TICKS : SEED_TICKS)) {
       const seed = random.pickItem(this.seedHosts);
@@ -245,14 +198,12 @@
     const { self } = this.options;
     if (heartbeat.name === self.name) return;
     const nowMs = this.options.timers.getNowMs();
-    const existing = this.vms.get(heartbeat.name);
-    const previousState = existing?.getLastReport().state;
-    if (existing === undefined) {
-      this.vms.set(heartbeat.name, peerVm.PeerVm.fromDigest({ ...heartbeat, ageMs: 0 }, nowMs));
-      if (heartbeat.place === self.place) this.log('vm-found', { peer: heartbeat.name, place: heartbeat.place, state: heartbeat.state });
-    } else existing.applyHeartbeat(heartbeat, nowMs);
-    heartbeat.mentions.filter((digest) => digest.name !== self.name).forEach((digest) => this.applyDigest(digest, nowMs));
-    if (previousState !== heartbeat.state) this.updateRole();
+    const previous = this.fleet.getReport(heartbeat.name);
+    if (previous === undefined && heartbeat.place === self.place) {
+      this.log('vm-found', { peer: heartbeat.name, place: heartbeat.place, state: heartbeat.state });
+    }
+    this.fleet.recordHeartbeat(heartbeat, nowMs);
+    if (previous?.state !== heartbeat.state) this.updateRole();
     this.options.catalog.post({
       type: 'peer-revision-received',
       host: heartbeat.host,
@@ -260,13 +211,7 @@
       revision: heartbeat.revision,
       confirmedAgeMs: heartbeat.confirmedAgeMs,
     });
-    if (heartbeat.reply === 'wanted') this.sendHeartbeat([heartbeat.host], 'none', this.listForNewcomer(heartbeat.place));
-  }
-
-  private applyDigest(digest: vmHeartbeat.PeerDigest, nowMs: number): void {
-    const existing = this.vms.get(digest.name);
-    if (existing !== undefined) existing.applyDigest(digest, nowMs);
-    else if (digest.ageMs < this.computeReserveTimeoutMs()) this.vms.set(digest.name, peerVm.PeerVm.fromDigest(digest, nowMs));
+    if (heartbeat.reply === 'wanted') this.sendHeartbeat([heartbeat.host], 'none', this.fleet.listForNewcomer(heartbeat.place, nowMs));
   }
 
   private handleCatalog(status: Extract<membershipMessage.MembershipMessage, { type: 'catalog-status' }>): void {
@@ -282,8 +227,8 @@
   // one of them leaves.
   private announce(): void {
     const nowMs = this.options.timers.getNowMs();
-    const isReserve = this.getStanding() === 'reserve' && this.state !== 'leaving';
-    this.sendHeartbeat(isReserve ? [...this.fronts, ...this.standbys] : this.listTargets(nowMs), 'none');
+    const isReserve = this.fleet.getStanding() === 'reserve' && this.state !== 'leaving';
+    this.sendHeartbeat(isReserve ? this.fleet.getClosest() : this.fleet.listTargets(nowMs), 'none');
   }
 
   private setState(state: vmHeartbeat.VmState): void {
@@ -295,15 +240,12 @@
   private updateRole(): void {
     const { self, frontsPerPlace } = this.options;
     const nowMs = this.options.timers.getNowMs();
-    const ranked = this.rankPlace(self.place, nowMs).map((vm) => vm.host);
-    const fronts = ranked.slice(0, frontsPerPlace);
-    if (fronts.join() !== this.fronts.join()) this.log('fronts-changed', { fronts: fronts.join(' ') });
-    this.fronts = fronts;
-    this.standbys = ranked.slice(frontsPerPlace, frontsPerPlace + STANDBYS);
-    const places = new Set([...this.vms.values()].map((vm) => vm.getLastReport().place).filter((place) => place !== self.place));
-    this.otherFronts = [...places].flatMap((place) => this.rankPlace(place, nowMs).slice(0, frontsPerPlace).map((vm) => vm.host));
+    const previous = this.fleet.getFronts().join(' ');
+    this.fleet.updateRanks(this.state, nowMs);
+    const fronts = this.fleet.getFronts().join(' ');
+    if (fronts !== previous) this.log('fronts-changed', { fronts });
     // VMs that are starting will serve soon, so that the first ones that are ready do not all watch the store.
-    const watchers = this.rankPlace(self.place, nowMs, 'starting').slice(0, frontsPerPlace).map((vm) => vm.host);
+    const watchers = this.fleet.rankPlace(self.place, this.state, nowMs, 'starting').slice(0, frontsPerPlace);
     const role = this.state !== 'starting' && watchers.includes(self.host) ? 'watcher' : 'follower';
     if (role === this.role) return;
     this.role = role;
@@ -313,12 +255,12 @@
   // Evidence is sent to the fronts only, since they route nearly all requests.
   private sendEvidence(rows: readonly instanceEvidence.InstanceEvidence[]): void {
     const nowMs = this.options.timers.getNowMs();
-    this.sendRows(this.fronts, rows);
-    this.sendRows(this.otherFronts, this.batch.add(rows, nowMs));
+    this.sendRows(this.fleet.getFronts(), rows);
+    this.sendRows(this.fleet.getOtherFronts(), this.batch.add(rows, nowMs));
     if (!this.isStarting(nowMs)) return;
+    const informed = [...this.fleet.getFronts(), ...this.fleet.getOtherFronts()];
+    const hosts = this.fleet.listReachable(nowMs).map((vm) => vm.getLastReport().host).filter((host) => !informed.includes(host));
     const urgent = rows.filter((row) => evidenceBatch.EvidenceBatch.isUrgent(row));
-    const hosts = this.listReachable().map((vm) => vm.getLastReport().host)
-      .filter((host) => !this.fronts.includes(host) && !this.otherFronts.includes(host));
     this.sendRows(this.options.random.shuffleItems(hosts).slice(0, MAX_START_EVIDENCE_HOSTS), urgent);
   }
 
@@ -336,68 +278,25 @@
     const { self, frontsPerPlace } = this.options;
     const nowMs = this.options.timers.getNowMs();
     const leastState = this.isStarting(nowMs) ? 'starting' : 'slow';
-    const fronts = this.rankPlace(place, nowMs, leastState).slice(0, frontsPerPlace);
-    if (fronts.length > 0) return fronts.map((vm) => vm.host);
+    const fronts = this.fleet.rankPlace(place, this.state, nowMs, leastState).slice(0, frontsPerPlace);
+    if (fronts.length > 0) return fronts;
     // Callers of a place without a usable VM are sent to the fronts of the place of this VM.
-    const ownFronts = this.rankPlace(self.place, nowMs, leastState).slice(0, frontsPerPlace);
-    return ownFronts.length > 0 ? ownFronts.map((vm) => vm.host) : [self.host];
-  }
-
-  private rankPlace(place: string, nowMs: number, leastState: 'slow' | 'starting' = 'slow'): frontChoice.FrontCandidate[] {
-    const { self } = this.options;
-    const others = [...this.vms.values()]
-      .filter((vm) => vm.getLastReport().place === place && this.isReachable(vm, nowMs))
-      .map((vm) => vm.getLastReport());
-    const candidates = self.place === place ? [{ ...self, state: this.state }, ...others] : others;
-    return frontChoice.FrontChoice.rankCandidates(place, candidates, leastState);
-  }
-
-  private isReachable(vm: peerVm.PeerVm, nowMs: number): boolean {
-    const { host, place } = vm.getLastReport();
-    const ageMs = vm.computeReportAgeMs(nowMs);
-    // Reports about VMs of other places are received by gossip only, and therefore less often.
-    if (place !== this.options.self.place) return ageMs <= this.computeContactLifetimeMs();
-    if (!this.fronts.includes(host)) return ageMs <= this.computeReserveTimeoutMs();
-    return ageMs <= (this.getStanding() === 'reserve' ? FRONT_TIMEOUT_FOR_RESERVES_MS : FRONT_TIMEOUT_MS);
+    const ownFronts = this.fleet.rankPlace(self.place, this.state, nowMs, leastState).slice(0, frontsPerPlace);
+    return ownFronts.length > 0 ? ownFronts : [self.host];
   }
 
-  private computeReserveTicks(): number {
-    return Math.max(MIN_RESERVE_TICKS, Math.ceil(this.placeSize / RESERVE_VMS_PER_TICK));
-  }
-
-  private computeReserveTimeoutMs(): number {
-    return DIGEST_DELAY_MS + RESERVE_TIMEOUT_PERIODS * this.computeReserveTicks() * TICK_MS;
-  }
-
-  private computeContactLifetimeMs(): number {
-    return Math.max(CONTACT_LIFETIME_MS + DIGEST_DELAY_MS, this.computeReserveTimeoutMs());
-  }
-
-  private listReachable(): peerVm.PeerVm[] {
-    const nowMs = this.options.timers.getNowMs();
-    return [...this.vms.values()].filter((vm) => this.isReachable(vm, nowMs));
-  }
-
-  private listTargets(nowMs: number): string[] {
-    return [...this.vms.values()]
-      .filter((vm) => vm.getLastReport().place === this.options.self.place)
-      .filter((vm) => vm.computeReportAgeMs(nowMs) <= this.computeContactLifetimeMs())
-      .map((vm) => vm.getLastReport().host);
-  }
-
-  private sendToOtherPlaces(standing: 'front' | 'standby' | 'reserve'): void {
-    if (standing === 'front' && this.otherFronts.length > 0) {
-      this.sendHeartbeat(this.otherFronts, 'none', this.listClosest());
+  private sendToOtherPlaces(standing: fleetView.VmStanding, nowMs: number): void {
+    if (standing === 'front' && this.fleet.getOtherFronts().length > 0) {
+      this.sendHeartbeat(this.fleet.getOtherFronts(), 'none', this.fleet.listClosest(nowMs));
       return;
     }
     // The fronts tell their place about the others, so that a reserve needs no contact of its own.
     if (standing === 'reserve') return;
-    const others = [...this.vms.values()].filter((vm) => vm.getLastReport().place !== this.options.self.place);
-    const target = this.options.random.pickItem(others);
-    if (target !== undefined) this.sendHeartbeat([target.getLastReport().host], 'none', this.listClosest());
+    const target = this.fleet.pickOtherPlaceHost();
+    if (target !== undefined) this.sendHeartbeat([target], 'none', this.fleet.listClosest(nowMs));
   }
 
-  private sendHeartbeat(hosts: readonly string[], reply: 'wanted' | 'none', mentioned = this.takeDigests()): void {
+  private sendHeartbeat(hosts: readonly string[], reply: 'wanted' | 'none', mentioned = this.fleet.takeDigests(this.options.timers.getNowMs())): void {
     const { self } = this.options;
     const others = hosts.filter((host) => host !== self.host);
     if (others.length === 0) return;
@@ -418,42 +317,6 @@
     });
   }
 
-  // Takes the next VMs, in turn, of those that the VMs of this place should know: all of the place, and the fronts of the others.
-  private takeDigests(): peerVm.PeerVm[] {
-    const { place } = this.options.self;
-    const known = this.listReachable()
-      .filter((vm) => vm.getLastReport().place === place || this.otherFronts.includes(vm.getLastReport().host));
-    const count = Math.min(MAX_HEARTBEAT_DIGESTS, Math.max(MIN_HEARTBEAT_DIGESTS, Math.ceil(known.length / VMS_PER_DIGEST)));
-    const first = this.nextDigest % Math.max(1, known.length);
-    this.nextDigest = first + count;
-    return [...known.slice(first), ...known.slice(0, first)].slice(0, count);
-  }
-
-  // Other places need to know the fronts of this place, and the VMs that would replace them.
-  private listClosest(): peerVm.PeerVm[] {
-    const closest = [...this.fronts, ...this.standbys];
-    return this.listReachable().filter((vm) => closest.includes(vm.getLastReport().host));
-  }
-
-  // A VM that discovers the fleet needs to know its own place first.
-  private listForNewcomer(place: string): peerVm.PeerVm[] {
-    const reachable = this.options.random.shuffleItems(this.listReachable());
-    const isOfPlace = (vm: peerVm.PeerVm): boolean => vm.getLastReport().place === place;
-    return [...reachable.filter(isOfPlace), ...reachable.filter((vm) => !isOfPlace(vm))].slice(0, REPLY_DIGESTS);
-  }
-
-  private pruneVms(nowMs: number): void {
-    const lifetimeMs = Math.max(RECORD_LIFETIME_MS, 2 * this.computeReserveTimeoutMs());
-    this.vms.forEach((vm, name) => {
-      if (vm.computeReportAgeMs(nowMs) <= lifetimeMs) return;
-      this.vms.delete(name);
-      // Of the other places, this VM only needs to know the fronts; it forgets the VMs that it met while it discovered the fleet.
-      if (vm.getLastReport().place === this.options.self.place) this.log('vm-lost', { peer: name });
-    });
-    const { place } = this.options.self;
-    this.placeSize = 1 + [...this.vms.values()].filter((vm) => vm.getLastReport().place === place).length;
-  }
-
   private log(event: string, fields: gatewayOutput.LogFields): void {
     this.options.outbox.post({ type: 'log', event, fields });
   }
--- a/packages/gateway/src/vms/index.ts
+++ b/packages/gateway/src/vms/index.ts
@@ -1,4 +1,5 @@
 export * from './EvidenceBatch.js';
+export * from './FleetView.js';
 export * from './FrontChoice.js';
 export * from './PeerVm.js';
 export type * from './MembershipMessage.js';
