Move the decisions on waiting, retries and the stop out of RoutedRequestTask

WaitingPolicy decides whether a request waits or may be sent once more and where it goes, StopSchedule which requests a stopping VM accepts.

--- a/packages/gateway/src/callers/RoutedRequestTask.ts
+++ b/packages/gateway/src/callers/RoutedRequestTask.ts
@@ -6,11 +6,9 @@
 import * as evidenceGossip from '../upstreams/EvidenceGossip.js';
 import type * as instanceRecord from '../upstreams/InstanceRecord.js';
 import type * as pooledInstance from '../upstreams/PooledInstance.js';
-import type * as servicePool from '../upstreams/ServicePool.js';
 import * as admissionPolicy from './AdmissionPolicy.js';
 import * as startupHoldQueue from './StartupHoldQueue.js';
 import type * as gatewayOutput from './GatewayOutput.js';
-import * as urgencyPolicy from './UrgencyPolicy.js';
 import type * as retryBudget from './RetryBudget.js';
 import type * as requestArrival from './RequestArrival.js';
 import * as requestLog from './RequestLog.js';
@@ -19,6 +17,8 @@
 import type * as routedRequestMessage from './RoutedRequestMessage.js';
 import type * as routedService from './RoutedService.js';
 import * as serviceTable from './ServiceTable.js';
+import * as stopSchedule from './StopSchedule.js';
+import * as waitingPolicy from './WaitingPolicy.js';
 
 // Waiting requests are checked at this interval, so that a request that can no longer be served in time is refused.
 const QUEUE_CHECK_INTERVAL_MS = 40;
@@ -31,13 +31,6 @@
 const HEDGE_QUANTILE = 0.93;
 const MIN_HEDGE_MS = 20;
 
-// Greatest number of attempts of one request, including those whose instance could not be reached.
-const MAX_TOTAL_ATTEMPTS = 5;
-
-// Quantile of the answer durations of a route that counts as the service time of a request. A retry is sent only if this time remains;
-// a later one would only occupy a slot.
-const SERVICE_TIME_QUANTILE = 0.5;
-
 // Deadline for callers that state none; the time-out of the route applies as well.
 const DEFAULT_DEADLINE_MS = 30_000;
 
@@ -77,15 +70,13 @@
 
   private readonly admission = new admissionPolicy.AdmissionPolicy();
 
+  private readonly waiting = new waitingPolicy.WaitingPolicy(this.admission);
+
   private readonly reporter: outcomeReporter.OutcomeReporter;
 
   private nextAttempt = 0;
 
-  // Times after which no request that may take longer than the process runs is accepted, and at which all requests must have an outcome,
-  // once the VM is being stopped.
-  private acceptsUntilMs = Infinity;
-
-  private endsAtMs = Infinity;
+  private readonly stop = new stopSchedule.StopSchedule();
 
   private readonly gossip = new evidenceGossip.EvidenceGossip();
 
@@ -177,10 +168,8 @@
       this.reporter.refuseArrival(arrival, 'no-instance');
       return;
     }
-    const allowedMs = Math.min(found.timeoutMs, arrival.deadlineMs ?? DEFAULT_DEADLINE_MS);
-    // An instance might still be processing the request when this process ends. Most requests take much less time than they are allowed, so
-    // that early in the stop it is better to try.
-    if (nowMs > this.acceptsUntilMs && arrival.arrivedAtMs + allowedMs > this.endsAtMs) {
+    const deadlineAtMs = arrival.arrivedAtMs + Math.min(found.timeoutMs, arrival.deadlineMs ?? DEFAULT_DEADLINE_MS);
+    if (this.stop.decide(deadlineAtMs, nowMs) === 'refuse') {
       this.reporter.refuseArrival(arrival, 'stopping');
       return;
     }
@@ -189,7 +178,7 @@
       route: found,
       service,
       durations: this.routes.getDurations(found),
-      deadlineAtMs: Math.min(arrival.arrivedAtMs + allowedMs, this.endsAtMs),
+      deadlineAtMs: this.stop.limitDeadline(deadlineAtMs),
     });
     const serviceEntry = this.services.getService(service);
     serviceEntry.budget.addRequest(nowMs);
@@ -201,8 +190,7 @@
   }
 
   private beginStopping(acceptsUntilMs: number, endsAtMs: number): void {
-    this.acceptsUntilMs = acceptsUntilMs;
-    this.endsAtMs = endsAtMs;
+    this.stop.begin(acceptsUntilMs, endsAtMs);
     // Requests that could take longer than the process runs get an outcome before it ends.
     this.requests.forEach((request) => this.subscribe(request, 'deadline-reached', Math.max(0, endsAtMs - this.options.timers.getNowMs())));
   }
@@ -222,24 +210,17 @@
   }
 
   private enqueueRequest(request: routedRequest.RoutedRequest, serviceEntry: routedService.RoutedService): void {
-    if (this.decideWaiting(request, serviceEntry, serviceEntry.queue.countServedBefore(request)) === 'refuse') {
-      this.refuse(request, serviceEntry.pool.countSlots() === 0 ? 'no-instance' : 'overloaded');
-      return;
-    }
+    if (this.addToQueue(request, serviceEntry) === 'refuse') this.refuse(request, serviceEntry.pool.countSlots() === 0 ? 'no-instance' : 'overloaded');
+  }
+
+  private addToQueue(request: routedRequest.RoutedRequest, serviceEntry: routedService.RoutedService): 'wait' | 'refuse' {
+    const requestsAhead = serviceEntry.queue.countServedBefore(request);
+    const decision = this.waiting.decide(request, serviceEntry, requestsAhead, this.options.timers.getNowMs());
+    if (decision === 'refuse') return decision;
     request.state = 'waiting';
     serviceEntry.queue.add(request);
     this.startQueueTimer();
-  }
-
-  // A critical request that no instance can queue is refused now; otherwise it would wait longer and probably still be refused.
-  private decideWaiting(
-    request: routedRequest.RoutedRequest,
-    serviceEntry: routedService.RoutedService,
-    requestsAhead: number,
-  ): 'wait' | 'refuse' {
-    const nowMs = this.options.timers.getNowMs();
-    if (RoutedRequestTask.computeUrgency(request, nowMs) === 'critical') return 'refuse';
-    return this.admission.decide(this.buildLoad(request, serviceEntry, requestsAhead), request.computeRemainingMs(nowMs));
+    return decision;
   }
 
   // Sends waiting requests in their order. If no instance is acceptable for one of them, none is for the later ones of the same kind and
@@ -249,14 +230,14 @@
     const unserved = new Set<string>();
     let requestsAhead = 0;
     serviceEntry.queue.listWaiting().forEach((request) => {
-      const group = `${request.options.route.kind} ${RoutedRequestTask.computeUrgency(request, nowMs)}`;
+      const group = `${request.options.route.kind} ${waitingPolicy.WaitingPolicy.computeUrgency(request, nowMs)}`;
       if (!unserved.has(group) && this.sendAttempt(request, serviceEntry)) {
         serviceEntry.queue.remove(request);
         return;
       }
       // The instances that were tried before are not acceptable for this request only.
       if (request.attempts.length === 0) unserved.add(group);
-      if (this.decideWaiting(request, serviceEntry, requestsAhead) === 'wait') requestsAhead += 1;
+      if (this.waiting.decide(request, serviceEntry, requestsAhead, nowMs) === 'wait') requestsAhead += 1;
       else {
         serviceEntry.queue.remove(request);
         this.refuse(request, 'overloaded');
@@ -265,25 +246,9 @@
     if (serviceEntry.queue.countWaiting() > 0) this.startQueueTimer();
   }
 
-  private static computeUrgency(request: routedRequest.RoutedRequest, nowMs: number): servicePool.RequestUrgency {
-    const { arrival, route } = request.options;
-    return urgencyPolicy.UrgencyPolicy.computeUrgency(nowMs - arrival.arrivedAtMs, route.objectiveMs);
-  }
-
-  private static chooseInstance(
-    request: routedRequest.RoutedRequest,
-    serviceEntry: routedService.RoutedService,
-    nowMs: number,
-    urgency: servicePool.RequestUrgency,
-  ): pooledInstance.PooledInstance | undefined {
-    const { kind } = request.options.route;
-    const condition = serviceEntry.outcomes.evaluateCondition(kind, nowMs);
-    return serviceEntry.pool.chooseInstance(kind, request.listTriedInstances(), nowMs, urgency, condition);
-  }
-
   private sendAttempt(request: routedRequest.RoutedRequest, serviceEntry: routedService.RoutedService): boolean {
     const nowMs = this.options.timers.getNowMs();
-    const chosen = RoutedRequestTask.chooseInstance(request, serviceEntry, nowMs, RoutedRequestTask.computeUrgency(request, nowMs));
+    const chosen = waitingPolicy.WaitingPolicy.chooseInstance(request, serviceEntry, nowMs);
     if (chosen === undefined || (request.countSent() > 0 && !serviceEntry.budget.take(nowMs))) return false;
     this.sendTo(chosen, request, serviceEntry);
     return true;
@@ -376,7 +341,7 @@
   // An instance that could not be reached has received nothing, so the request is sent or queued as if it had just arrived.
   private resumeRequest(request: routedRequest.RoutedRequest): boolean {
     if (request.countSent() > 0) return this.retryRequest(request);
-    if (request.attempts.length >= MAX_TOTAL_ATTEMPTS) return false;
+    if (!waitingPolicy.WaitingPolicy.hasAttemptsLeft(request)) return false;
     const serviceEntry = this.services.getService(request.options.service);
     if (!this.sendAttempt(request, serviceEntry)) this.enqueueRequest(request, serviceEntry);
     return true;
@@ -384,14 +349,12 @@
 
   // Sends the request to another instance if its route, the remaining time and the retry budget permit.
   private retryRequest(request: routedRequest.RoutedRequest): boolean {
-    const { route, service, durations } = request.options;
     const nowMs = this.options.timers.getNowMs();
-    if (request.countSent() >= route.maxAttempts || request.attempts.length >= MAX_TOTAL_ATTEMPTS) return false;
-    if (request.computeRemainingMs(nowMs) < durations.estimateQuantile(SERVICE_TIME_QUANTILE)) return false;
-    const serviceEntry = this.services.getService(service);
+    if (!waitingPolicy.WaitingPolicy.canRetry(request, nowMs)) return false;
+    const serviceEntry = this.services.getService(request.options.service);
     // A retry takes no place in a queue of an instance before the requests that wait for their first attempt.
-    const urgency = serviceEntry.queue.countWaiting() > 0 ? 'normal' : RoutedRequestTask.computeUrgency(request, nowMs);
-    const chosen = RoutedRequestTask.chooseInstance(request, serviceEntry, nowMs, urgency);
+    const urgency = serviceEntry.queue.countWaiting() > 0 ? 'normal' : undefined;
+    const chosen = waitingPolicy.WaitingPolicy.chooseInstance(request, serviceEntry, nowMs, urgency);
     if (chosen === undefined || !serviceEntry.budget.take(nowMs)) return false;
     this.sendTo(chosen, request, serviceEntry);
     return true;
@@ -400,16 +363,8 @@
   // If only instances that probably fail have free capacity, the retry waits for another one: an instance that fails at once always has
   // free slots, and would use up the retries.
   private enqueueRetry(request: routedRequest.RoutedRequest): boolean {
-    const { route, service, durations } = request.options;
-    const nowMs = this.options.timers.getNowMs();
-    if (request.countSent() >= route.maxAttempts || request.attempts.length >= MAX_TOTAL_ATTEMPTS) return false;
-    if (request.computeRemainingMs(nowMs) < durations.estimateQuantile(SERVICE_TIME_QUANTILE)) return false;
-    const serviceEntry = this.services.getService(service);
-    if (this.decideWaiting(request, serviceEntry, serviceEntry.queue.countServedBefore(request)) === 'refuse') return false;
-    request.state = 'waiting';
-    serviceEntry.queue.add(request);
-    this.startQueueTimer();
-    return true;
+    return waitingPolicy.WaitingPolicy.canRetry(request, this.options.timers.getNowMs())
+      && this.addToQueue(request, this.services.getService(request.options.service)) === 'wait';
   }
 
   private handleDeadline(requestId: string): void {
@@ -442,7 +397,9 @@
       return;
     }
     const serviceEntry = this.services.getService(request.options.service);
-    this.reporter.refuse(request, reason, this.buildLoad(request, serviceEntry, serviceEntry.queue.countServedBefore(request)));
+    const requestsAhead = serviceEntry.queue.countServedBefore(request);
+    const nowMs = this.options.timers.getNowMs();
+    this.reporter.refuse(request, reason, waitingPolicy.WaitingPolicy.buildLoad(request, serviceEntry, requestsAhead, nowMs));
     this.recordOutcome(request, 'unserved');
     this.endRequest(request);
   }
@@ -488,19 +445,6 @@
     }
   }
 
-  private buildLoad(
-    request: routedRequest.RoutedRequest,
-    serviceEntry: routedService.RoutedService,
-    requestsAhead: number,
-  ): admissionPolicy.ServiceLoad {
-    return {
-      slots: serviceEntry.pool.countSlots(),
-      requestsAhead,
-      slotReleaseIntervalMs: serviceEntry.slotReleaseRate.estimateIntervalMs(this.options.timers.getNowMs()),
-      serviceMs: request.options.durations.estimateQuantile(SERVICE_TIME_QUANTILE),
-    };
-  }
-
   private computeCallerRemainingMs(request: routedRequest.RoutedRequest, nowMs: number): number {
     const { arrival } = request.options;
     return arrival.deadlineMs === undefined ? Infinity : arrival.arrivedAtMs + arrival.deadlineMs - nowMs;
