Take the floor from the settings

The share of sound instances to use while a service is served poorly was a constant for the floor of the known sites.

--- a/packages/front/src/vms/FrontProcess.ts
+++ b/packages/front/src/vms/FrontProcess.ts
@@ -117,6 +117,7 @@
       outbox,
       place: settings.place,
       budget: FrontProcess.computeRetryBudget(settings),
+      floorShare: settings.floorShare,
     });
     this.catalog = new gateway.contracts.CatalogTask({
       scheduler,
--- a/packages/front/src/vms/FrontSettings.ts
+++ b/packages/front/src/vms/FrontSettings.ts
@@ -36,6 +36,8 @@
   readonly retryRatio: number;
   /** Retries per window that are allowed in addition to `retryRatio`, for each service, summed over all VMs. */
   readonly retrySlack: number;
+  /** Smallest share of the sound instances of a service that must be used while many of its requests are not served. */
+  readonly floorShare: number;
   /** Length of the sliding window of the retry budget, in milliseconds. */
   readonly retryWindowMs: number;
   /** Number of places in the deployment. */
--- a/packages/gateway/src/callers/RoutedRequestTask.ts
+++ b/packages/gateway/src/callers/RoutedRequestTask.ts
@@ -47,6 +47,8 @@
   readonly place: string;
   /** This VM's share of the retries that all VMs may send together. */
   readonly budget: retryBudget.RetryBudgetOptions;
+  /** Smallest share of the sound instances of a service that must be used while many of its requests are not served. */
+  readonly floorShare: number;
 }
 
 /** Owns the requests of callers from arrival to outcome. Decides where each is sent, whether it waits and whether it is retried. */
--- a/packages/gateway/src/callers/ServiceTable.ts
+++ b/packages/gateway/src/callers/ServiceTable.ts
@@ -25,6 +25,8 @@
   readonly random: core.randomness.RandomSource;
   /** This VM's share of the retries to each service. */
   readonly budget: retryBudget.RetryBudgetOptions;
+  /** Smallest share of the sound instances of a service that must be used while many of its requests are not served. */
+  readonly floorShare: number;
 }
 
 /** States of all services in this VM. */
@@ -51,8 +53,13 @@
   getService(service: string): routedService.RoutedService {
     const existing = this.entries.get(service);
     if (existing !== undefined) return existing;
-    const { place, random } = this.options;
-    const created = new routedService.RoutedService({ pool: { service, place, random }, budget: this.budget });
+    const { place, random, floorShare } = this.options;
+    const created = new routedService.RoutedService({
+      pool: {
+        service, place, random, floorShare,
+      },
+      budget: this.budget,
+    });
     this.entries.set(service, created);
     return created;
   }
--- a/packages/gateway/src/upstreams/ServicePool.ts
+++ b/packages/gateway/src/upstreams/ServicePool.ts
@@ -34,9 +34,9 @@
 // probability is.
 const MAX_EXCLUDED_SHARE = 0.3;
 
-// While a service is served poorly, the VMs together use at least this share of its instances without a failure in the given time: a little
-// more than the seven tenths that the users require of the sound ones, since the VMs know of each other's use with a delay.
-const SUFFICIENT_COVERAGE = 0.78;
+// While a service is served poorly, the VMs together use a little more than the required share of its instances without a failure in the
+// given time, since the VMs know of each other's use with a delay.
+const FLOOR_MARGIN = 0.08;
 const COVERAGE_SPAN_MS = 2_000;
 const COVERAGE_LIFETIME_MS = 50;
 
@@ -46,6 +46,8 @@
   /** Place of the VM. */
   readonly place: string;
   readonly random: core.randomness.RandomSource;
+  /** Smallest share of the sound instances that must be used while many requests are not served. */
+  readonly floorShare: number;
 }
 
 interface InstanceQuery {
@@ -173,7 +175,7 @@
     if (nowMs - this.coveredAtMs < COVERAGE_LIFETIME_MS) return this.coverage === 'sufficient';
     const candidates = this.ready.filter((instance) => instance.computeFailureAgeMs(nowMs) >= COVERAGE_SPAN_MS);
     const used = candidates.filter((instance) => instance.computeIdleMs(nowMs) < COVERAGE_SPAN_MS).length;
-    this.coverage = used >= candidates.length * SUFFICIENT_COVERAGE ? 'sufficient' : 'insufficient';
+    this.coverage = used >= candidates.length * Math.min(1, this.options.floorShare + FLOOR_MARGIN) ? 'sufficient' : 'insufficient';
     this.coveredAtMs = nowMs;
     return this.coverage === 'sufficient';
   }
--- a/packages/gateway/test/LoadReplay.ts
+++ b/packages/gateway/test/LoadReplay.ts
@@ -137,6 +137,7 @@
       outbox: { post: (output) => this.handleOutput(vm, output) },
       place,
       budget: { ratio: 0.16, slack: RETRY_SLACK_PER_VM, windowMs: 10_000 },
+      floorShare: 0.7,
     });
     this.vms.push(task);
     this.batches.push(new gateway.vms.EvidenceBatch());
--- a/packages/gateway/test/TestGateway.ts
+++ b/packages/gateway/test/TestGateway.ts
@@ -30,6 +30,7 @@
       outbox: { post: (output) => this.outputs.push(output) },
       place: 'p1',
       budget: { ratio: 0.2, slack: retrySlack, windowMs: 10_000 },
+      floorShare: 0.7,
     });
     if (routes !== undefined) this.applyConfiguration(routes, instances);
   }
--- a/packages/proof/src/bench/GatewayBench.ts
+++ b/packages/proof/src/bench/GatewayBench.ts
@@ -57,6 +57,7 @@
       },
       place: 'p0',
       budget: { ratio: 0.2, slack: 10, windowMs: 10_000 },
+      floorShare: 0.7,
     });
     task.post({ type: 'configuration-changed', configuration: GatewayBench.buildConfiguration() });
     const records = Array.from({ length: instances }, (_, index) => GatewayBench.buildInstance(index));
