Log which instances are used while a service is served poorly

A VM that served less than nine tenths of its requests for a service in the last two seconds now logs, once a second, how many instances are ready, how many of them it takes for sound, how many of these a VM used in the last two seconds, how many must be used, and the age of the latest evidence of another VM. No decision is changed.

Ruled out: a line for each choice of an instance, which the limit of the log would cut off under load.

--- a/packages/gateway/src/callers/RoutedRequestTask.ts
+++ b/packages/gateway/src/callers/RoutedRequestTask.ts
@@ -16,6 +16,7 @@
 import * as routedRequest from './RoutedRequest.js';
 import type * as routedRequestMessage from './RoutedRequestMessage.js';
 import type * as routedService from './RoutedService.js';
+import * as serviceConditionLog from './ServiceConditionLog.js';
 import * as serviceTable from './ServiceTable.js';
 import * as stopSchedule from './StopSchedule.js';
 import * as waitingPolicy from './WaitingPolicy.js';
@@ -67,6 +68,8 @@
 
   private readonly requestLog: requestLog.RequestLog;
 
+  private readonly conditionLog: serviceConditionLog.ServiceConditionLog;
+
   // `stale` if neither the store nor another VM has recently confirmed that the catalog is up to date.
   private catalogState: 'current' | 'stale' = 'stale';
 
@@ -92,6 +95,7 @@
     this.services = new serviceTable.ServiceTable(options);
     this.routes = new activeRoutes.ActiveRoutes(options.random);
     this.requestLog = new requestLog.RequestLog(options.outbox, options.timers);
+    this.conditionLog = new serviceConditionLog.ServiceConditionLog(options.outbox);
     this.reporter = new outcomeReporter.OutcomeReporter({ ...options, log: this.requestLog, admission: this.admission });
   }
 
@@ -407,7 +411,11 @@
   }
 
   private recordOutcome(request: routedRequest.RoutedRequest, outcome: 'served' | 'unserved'): void {
-    this.services.getService(request.options.service).outcomes.record(outcome, this.options.timers.getNowMs());
+    const { service } = request.options;
+    const nowMs = this.options.timers.getNowMs();
+    const serviceEntry = this.services.getService(service);
+    serviceEntry.outcomes.record(outcome, nowMs);
+    this.conditionLog.update(service, serviceEntry, this.services.computeEvidenceAgeMs(nowMs), nowMs);
   }
 
   private endRequest(request: routedRequest.RoutedRequest): void {
--- a/packages/gateway/src/callers/ServiceOutcomes.ts
+++ b/packages/gateway/src/callers/ServiceOutcomes.ts
@@ -18,6 +18,13 @@
   unserved: number;
 }
 
+/** Numbers of the recent requests of one VM for a service. */
+export interface OutcomeSummary {
+  readonly requests: number;
+  /** Requests that were refused or ended without a successful answer. */
+  readonly unserved: number;
+}
+
 /** Outcomes of the recent requests for one service, as far as this VM routed them. */
 export class ServiceOutcomes {
   private buckets: Bucket[] = [];
@@ -54,6 +61,15 @@
    */
   evaluateCondition(kind: route.RequestKind, nowMs: number): placementPolicy.ServiceCondition {
     if (kind === 'non-idempotent' && nowMs - this.latestIdempotentAtMs < IDEMPOTENT_SPAN_MS) return 'good';
+    const { requests, unserved } = this.summarize(nowMs);
+    return unserved > 0 && unserved - Math.sqrt(unserved) >= requests * POOR_SHARES[kind] ? 'poor' : 'good';
+  }
+
+  /**
+   * Counts the requests that ended in the last two seconds.
+   * @param nowMs - Current time.
+   */
+  summarize(nowMs: number): OutcomeSummary {
     let requests = 0;
     let unserved = 0;
     // Without intermediate arrays, since this runs for each request.
@@ -62,6 +78,6 @@
       requests += bucket.requests;
       unserved += bucket.unserved;
     });
-    return unserved > 0 && unserved - Math.sqrt(unserved) >= requests * POOR_SHARES[kind] ? 'poor' : 'good';
+    return { requests, unserved };
   }
 }
--- a/packages/gateway/src/callers/ServiceTable.ts
+++ b/packages/gateway/src/callers/ServiceTable.ts
@@ -41,6 +41,8 @@
 
   private budget: retryBudget.RetryBudgetOptions;
 
+  private evidenceReceivedAtMs: number | undefined;
+
   /** @param options - Place of the VM, random source and retry budget. */
   constructor(private readonly options: ServiceTableOptions) {
     this.budget = options.budget;
@@ -114,10 +116,19 @@
    * @param nowMs - Current time.
    */
   applyEvidence(from: string, rows: readonly instanceEvidence.InstanceEvidence[], nowMs: number): void {
+    this.evidenceReceivedAtMs = nowMs;
     if (this.entries.size > 0) this.applyRows(from, rows, nowMs);
     else if (this.early.length < MAX_EARLY_NOTICES) this.early.push({ from, rows, atMs: nowMs });
   }
 
+  /**
+   * Computes the time since another VM has sent evidence, in milliseconds. Undefined if none has.
+   * @param nowMs - Current time.
+   */
+  computeEvidenceAgeMs(nowMs: number): number | undefined {
+    return this.evidenceReceivedAtMs === undefined ? undefined : Math.round(nowMs - this.evidenceReceivedAtMs);
+  }
+
   private applyRows(from: string, rows: readonly instanceEvidence.InstanceEvidence[], nowMs: number): void {
     rows.forEach((row) => this.entries.get(row.service)?.pool.getInstance(row.instance)?.recordPeerEvidence(from, row, nowMs));
   }
--- a/packages/gateway/src/callers/index.ts
+++ b/packages/gateway/src/callers/index.ts
@@ -12,6 +12,7 @@
 export type * from './RoutedRequestMessage.js';
 export * from './RoutedRequestTask.js';
 export * from './RoutedService.js';
+export * from './ServiceConditionLog.js';
 export * from './ServiceOutcomes.js';
 export * from './ServiceTable.js';
 export * from './WaitQueue.js';
--- a/packages/gateway/src/upstreams/ServicePool.ts
+++ b/packages/gateway/src/upstreams/ServicePool.ts
@@ -50,6 +50,18 @@
   readonly floorShare: number;
 }
 
+/** Which instances of a service the VMs use, as far as this VM knows. */
+export interface PoolUse {
+  /** Instances that accept new requests. */
+  readonly ready: number;
+  /** Those of them without a recent failure. */
+  readonly sound: number;
+  /** Sound instances that a VM is known to have used recently. */
+  readonly used: number;
+  /** Smallest number of sound instances that should be used while the service is served poorly. */
+  readonly required: number;
+}
+
 interface InstanceQuery {
   readonly kind: route.RequestKind;
   readonly tried: readonly string[];
@@ -173,13 +185,26 @@
   // Whether the VMs use enough of the instances that may be sound. The result is kept for a short time, since it concerns all instances.
   private isCovered(nowMs: number): boolean {
     if (nowMs - this.coveredAtMs < COVERAGE_LIFETIME_MS) return this.coverage === 'sufficient';
-    const candidates = this.ready.filter((instance) => instance.computeFailureAgeMs(nowMs) >= COVERAGE_SPAN_MS);
-    const used = candidates.filter((instance) => instance.computeIdleMs(nowMs) < COVERAGE_SPAN_MS).length;
-    this.coverage = used >= candidates.length * Math.min(1, this.options.floorShare + FLOOR_MARGIN) ? 'sufficient' : 'insufficient';
+    const { used, required } = this.summarizeUse(nowMs);
+    this.coverage = used >= required ? 'sufficient' : 'insufficient';
     this.coveredAtMs = nowMs;
     return this.coverage === 'sufficient';
   }
 
+  /**
+   * Counts the sound instances, and those of them that the VMs use.
+   * @param nowMs - Current time.
+   */
+  summarizeUse(nowMs: number): PoolUse {
+    const sound = this.ready.filter((instance) => instance.computeFailureAgeMs(nowMs) >= COVERAGE_SPAN_MS);
+    return {
+      ready: this.ready.length,
+      sound: sound.length,
+      used: sound.filter((instance) => instance.computeIdleMs(nowMs) < COVERAGE_SPAN_MS).length,
+      required: Math.ceil(sound.length * Math.min(1, this.options.floorShare + FLOOR_MARGIN)),
+    };
+  }
+
   private buildCandidate(instance: pooledInstance.PooledInstance, nowMs: number): placementPolicy.PlacementCandidate {
     const { failure, load } = instance.evaluate(nowMs);
     const { slots, place } = instance.getRecord();
