Group what an instance says about itself in one field

A refactoring without a change of behaviour, before limits are read: the adapter decodes the headers in which an instance speaks about itself into one statement, which the end of an attempt carries. The load report is its first field.

--- a/packages/front/src/upstreams/RoutedResponseReader.ts
+++ b/packages/front/src/upstreams/RoutedResponseReader.ts
@@ -78,12 +78,12 @@
     const { metadata } = this;
     if (metadata === undefined || metadata.echo === 'mismatched') return { type: 'broken' };
     if (metadata.execution === 'misdirected') return { type: 'misdirected' };
-    if (metadata.execution === 'not-run') return { type: 'not-run', load: metadata.load };
+    if (metadata.execution === 'not-run') return { type: 'not-run', statement: metadata.statement };
     // A response without a seal may come from another process that has taken over the address of the instance.
     if (metadata.seal === 'absent') return { type: 'broken' };
     return {
       type: 'answered',
-      load: metadata.load,
+      statement: metadata.statement,
       answer: {
         status: this.status,
         headers: entry.links.HeaderFilter.filterRawHeaders(this.rawFields, NO_EXCLUDED_HEADERS),
--- a/packages/front/src/upstreams/UpstreamDialect.ts
+++ b/packages/front/src/upstreams/UpstreamDialect.ts
@@ -8,8 +8,7 @@
   readonly execution: 'not-run' | 'misdirected' | 'may-have-run';
   /** Whether the response has a seal: a header by which an instance marks a response as its own. */
   readonly seal: 'present' | 'absent';
-  /** Load that the instance reports about itself. */
-  readonly load: gateway.upstreams.ReportedLoad | undefined;
+  readonly statement: gateway.upstreams.InstanceStatement;
 }
 
 /** Header conventions between a VM and the instances of one platform. */
--- a/packages/front/test/TestUpstreamDialect.ts
+++ b/packages/front/test/TestUpstreamDialect.ts
@@ -1,5 +1,5 @@
 import * as front from '@tamarackferry/front';
-import type * as gateway from '@tamarackferry/gateway';
+import * as gateway from '@tamarackferry/gateway';
 
 /** Upstream dialect with plain header names, independent of any platform. */
 export class TestUpstreamDialect extends front.upstreams.UpstreamDialect {
@@ -12,7 +12,7 @@
       echo: headers.get('request-id') === callerRequestId ? 'matched' : 'mismatched',
       execution: TestUpstreamDialect.parseExecution(headers),
       seal: headers.has('seal') ? 'present' : 'absent',
-      load: undefined,
+      statement: gateway.upstreams.EMPTY_STATEMENT,
     };
   }
 
--- a/packages/gateway/src/upstreams/AttemptEnding.ts
+++ b/packages/gateway/src/upstreams/AttemptEnding.ts
@@ -1,9 +1,4 @@
-/** Load of an instance as reported in its answer: numbers of requests, and of slots. */
-export interface ReportedLoad {
-  readonly running: number;
-  readonly waiting: number;
-  readonly slots: number;
-}
+import type * as instanceStatement from './InstanceStatement.js';
 
 /** Complete answer of an instance, as received. */
 export interface InstanceAnswer {
@@ -24,6 +19,6 @@
  * - `cancelled`: this VM cancelled the attempt.
  */
 export type AttemptEnding =
-  | { readonly type: 'answered'; readonly answer: InstanceAnswer; readonly load: ReportedLoad | undefined }
-  | { readonly type: 'not-run'; readonly load: ReportedLoad | undefined }
+  | { readonly type: 'answered'; readonly answer: InstanceAnswer; readonly statement: instanceStatement.InstanceStatement }
+  | { readonly type: 'not-run'; readonly statement: instanceStatement.InstanceStatement }
   | { readonly type: 'misdirected' | 'unsent' | 'reset' | 'broken' | 'cancelled' };
--- a/packages/gateway/src/upstreams/PooledInstance.ts
+++ b/packages/gateway/src/upstreams/PooledInstance.ts
@@ -3,6 +3,7 @@
 import type * as instanceEvidence from './InstanceEvidence.js';
 import * as grayFailureEstimator from './GrayFailureEstimator.js';
 import type * as instanceRecord from './InstanceRecord.js';
+import type * as instanceStatement from './InstanceStatement.js';
 
 // A load report becomes outdated quickly: its weight falls to zero within this time.
 const LOAD_REPORT_LIFETIME_MS = 600;
@@ -112,7 +113,7 @@
     if (attempt === undefined) return;
     this.inFlight.delete(attemptId);
     this.evaluatedAtMs = -Infinity;
-    if ((ending.type === 'answered' || ending.type === 'not-run') && ending.load !== undefined) this.recordLoad(ending.load, nowMs);
+    if ((ending.type === 'answered' || ending.type === 'not-run') && ending.statement.load !== undefined) this.recordLoad(ending.statement.load, nowMs);
     const survival = attempt.durations.estimateSurvival(nowMs - attempt.sentAtMs);
     switch (ending.type) {
       case 'answered':
@@ -232,7 +233,7 @@
     return sum;
   }
 
-  private recordLoad(load: attemptEnding.ReportedLoad, nowMs: number): void {
+  private recordLoad(load: instanceStatement.ReportedLoad, nowMs: number): void {
     this.otherVmsLoad = Math.max(0, load.running + load.waiting - this.inFlight.size);
     this.loadReportedAtMs = nowMs;
   }
--- a/packages/gateway/test/SimulatedInstance.ts
+++ b/packages/gateway/test/SimulatedInstance.ts
@@ -1,5 +1,5 @@
 import type * as core from '@tamarackferry/core';
-import type * as gateway from '@tamarackferry/gateway';
+import * as gateway from '@tamarackferry/gateway';
 
 import type * as loadPattern from './LoadPattern.js';
 import * as testGateway from './TestGateway.js';
@@ -69,10 +69,10 @@
   receive(key: string, workMs: number, reply: Work['reply']): void {
     const work = { key, workMs, reply };
     this.usedAtMs = this.options.timers.getNowMs();
-    if (this.isShedding()) reply({ type: 'not-run', load: this.buildLoad() });
+    if (this.isShedding()) reply({ type: 'not-run', statement: this.buildStatement() });
     else if (this.running.size < this.options.record.slots) this.start(work);
     else if (this.waiting.length < QUEUE_LENGTH) this.waiting.push(work);
-    else reply({ type: 'not-run', load: this.buildLoad() });
+    else reply({ type: 'not-run', statement: this.buildStatement() });
   }
 
   /**
@@ -102,8 +102,7 @@
       mailbox: {
         post: () => {
           this.finish(work.key);
-          const ending = testGateway.TestGateway.buildAnswer(status);
-          work.reply(ending.type === 'answered' ? { ...ending, load: this.buildLoad() } : ending);
+          work.reply(testGateway.TestGateway.buildAnswer(status, this.buildStatement()));
         },
       },
       message: undefined,
@@ -117,8 +116,11 @@
     if (next !== undefined) this.start(next);
   }
 
-  private buildLoad(): gateway.upstreams.ReportedLoad {
-    return { running: this.running.size, waiting: this.waiting.length, slots: this.options.record.slots };
+  private buildStatement(): gateway.upstreams.InstanceStatement {
+    return {
+      ...gateway.upstreams.EMPTY_STATEMENT,
+      load: { running: this.running.size, waiting: this.waiting.length, slots: this.options.record.slots },
+    };
   }
 
   private computeSlowFactor(): number {
--- a/packages/gateway/test/TestGateway.ts
+++ b/packages/gateway/test/TestGateway.ts
@@ -98,8 +98,13 @@
   /**
    * Builds an answer of an instance.
    * @param status - Status code.
+   * @param statement - What the instance states about itself; nothing if not given.
    */
-  static buildAnswer(status: number): gateway.upstreams.AttemptEnding {
-    return { type: 'answered', load: undefined, answer: { status, headers: [], body: new Uint8Array() } };
+  static buildAnswer(status: number, statement: Partial<gateway.upstreams.InstanceStatement> = {}): gateway.upstreams.AttemptEnding {
+    return {
+      type: 'answered',
+      statement: { ...gateway.upstreams.EMPTY_STATEMENT, ...statement },
+      answer: { status, headers: [], body: new Uint8Array() },
+    };
   }
 }
--- a/packages/gateway/test/callers/RoutedRequestTask.test.ts
+++ b/packages/gateway/test/callers/RoutedRequestTask.test.ts
@@ -25,7 +25,7 @@
       const tested = new testGateway.TestGateway([NON_IDEMPOTENT], INSTANCES);
       tested.sendRequest();
       const [first] = tested.listAttempts();
-      tested.endAttempt(first!.attemptId, type === 'not-run' ? { type, load: undefined } : { type });
+      tested.endAttempt(first!.attemptId, type === 'not-run' ? { type, statement: gateway.upstreams.EMPTY_STATEMENT } : { type });
       const attempts = tested.listAttempts();
       vitest.expect(attempts).toHaveLength(2);
       vitest.expect(attempts[1]!.instance.id).not.toBe(first!.instance.id);
@@ -35,8 +35,8 @@
   vitest.it('sends no more attempts than the route permits, and then refuses with `overloaded` if no instance has processed the request', () => {
     const tested = new testGateway.TestGateway([NON_IDEMPOTENT], INSTANCES);
     const id = tested.sendRequest();
-    tested.endAttempt('1', { type: 'not-run', load: undefined });
-    tested.endAttempt('2', { type: 'not-run', load: undefined });
+    tested.endAttempt('1', { type: 'not-run', statement: gateway.upstreams.EMPTY_STATEMENT });
+    tested.endAttempt('2', { type: 'not-run', statement: gateway.upstreams.EMPTY_STATEMENT });
     vitest.expect(tested.listAttempts()).toHaveLength(2);
     vitest.expect(tested.findOutcome(id)).toMatchObject({ type: 'refuse', reason: 'overloaded' });
   });
@@ -73,7 +73,7 @@
     const tested = new testGateway.TestGateway([IDEMPOTENT], INSTANCES);
     const id = tested.sendRequest();
     tested.endAttempt('1', { type: 'reset' });
-    tested.endAttempt('2', { type: 'not-run', load: undefined });
+    tested.endAttempt('2', { type: 'not-run', statement: gateway.upstreams.EMPTY_STATEMENT });
     vitest.expect(tested.findOutcome(id)).toMatchObject({ type: 'refuse', reason: 'unknown' });
   });
 
--- a/packages/gateway/test/upstreams/ServicePool.test.ts
+++ b/packages/gateway/test/upstreams/ServicePool.test.ts
@@ -47,7 +47,7 @@
     const durations = buildDurations();
     const instance = pool.chooseInstance('non-idempotent', [], 0)!;
     instance.beginAttempt('a', 0, durations);
-    instance.endAttempt('a', { type: 'answered', load: { running: 2, waiting: 0, slots: 2 }, answer: { status: 200, headers: [], body: new Uint8Array() } }, 10);
+    instance.endAttempt('a', testGateway.TestGateway.buildAnswer(200, { load: { running: 2, waiting: 0, slots: 2 } }), 10);
     pool.chooseInstance('non-idempotent', [], 11)!.beginAttempt('b', 11, durations);
     vitest.expect(pool.chooseInstance('non-idempotent', [], 12)).toBeUndefined();
     vitest.expect(pool.chooseInstance('non-idempotent', [], 700)).toBeDefined();
--- a/packages/proof/src/bench/GatewayBench.ts
+++ b/packages/proof/src/bench/GatewayBench.ts
@@ -49,7 +49,7 @@
         post: (output) => {
           if (output.type !== 'send-attempt') return;
           const ending: gateway.upstreams.AttemptEnding = {
-            type: 'answered', load: undefined, answer: { status: 200, headers: [], body: new Uint8Array() },
+            type: 'answered', statement: gateway.upstreams.EMPTY_STATEMENT, answer: { status: 200, headers: [], body: new Uint8Array() },
           };
           const message = { type: 'attempt-ended' as const, attemptId: output.attemptId, ending };
           timers.subscribe({ mailbox: task, message, delayMs: WORK_MS });
