--- a/packages/gateway/test/LoadReplay.test.ts
+++ b/packages/gateway/test/LoadReplay.test.ts
@@ -80,6 +80,12 @@
     shares.forEach((share) => vitest.expect(share).toBeGreaterThanOrEqual(MIN_USED_SHARE));
   });
 
+  vitest.it('gives requests to most of the sound instances of a service that is served poorly, although each VM sees few of its requests', () => {
+    const shares = SEEDS.map((seed) => replayPattern(loadPatterns.SHARED_POOR, seed).minUsedShareWhilePoor);
+    vitest.expect(shares.every((share) => share !== undefined)).toBe(true);
+    shares.forEach((share) => vitest.expect(share).toBeGreaterThanOrEqual(MIN_USED_SHARE));
+  });
+
   vitest.it.each([
     ['overload', loadPatterns.OVERLOAD], MOSTLY_GRAY,
   ] as const)('achieves more benefit if the VMs send each other their numbers of requests in flight (%s)', (_, pattern) => {
--- a/packages/gateway/test/loadPatterns.ts
+++ b/packages/gateway/test/loadPatterns.ts
@@ -137,3 +137,19 @@
     share: 0.3, spanMs: 9_000, affectedShare: 0.75, failure: 'errors',
   },
 };
+
+/**
+ * A service that many VMs share, so that each of them sees few of its requests, and whose instances fail so often that somewhat more than a
+ * tenth of the requests are not served. None of the requests may be repeated.
+ */
+export const SHARED_POOR: loadPattern.LoadPattern = {
+  lengthMs: 30_000,
+  vmsPerPlace: 4,
+  services: [{ name: 's1', instances: 36, slots: 2 }],
+  routes: [{
+    name: 'dispatch', service: 's1', kind: 'non-idempotent', perSecond: 70, workMs: 121, objectiveMs: 517, deadlineMs: 1_541, rank: 0,
+  }],
+  gray: {
+    share: 0.35, spanMs: 3_000, affectedShare: 0.75, failure: 'unanswered',
+  },
+};
