Judge how a service is served by the requests of all VMs

Cause: a VM tries instances that have recovered only once more than 0.07 of its own requests of two seconds are not served, by more than the standard error of that number. With the load shared by eight VMs each has about fifty requests or fewer, so that 11 in 100 are not enough. A condition of the whole fleet was judged by a sample of one VM. The class of fault: a quantity that is defined over the fleet, decided from local counts.

VMs now send the numbers of their recent requests with the evidence and judge by the sum.

--- a/packages/front/src/links/EvidenceCodec.ts
+++ b/packages/front/src/links/EvidenceCodec.ts
@@ -4,15 +4,21 @@
 const NAME_SCHEMA = zod.string().min(1).max(200);
 const MAX_ROWS = 1_000;
 const MAX_IN_FLIGHT = 10_000;
+const MAX_REQUESTS = 1_000_000;
 
 // Instance id, log odds above the prior that the instance has a gray failure (`deviation`), requests in flight. A tuple has no
 // field names to encode: notices are sent many times a second, and traffic between places is charged by the byte.
 const ROW_SCHEMA = zod.tuple([NAME_SCHEMA, zod.number().min(-20).max(20), zod.number().int().min(0).max(MAX_IN_FLIGHT)]);
 
+// Service, requests that ended recently, and those of them that were not served.
+const OUTCOME_SCHEMA = zod.tuple([NAME_SCHEMA, zod.number().int().min(0).max(MAX_REQUESTS), zod.number().int().min(0).max(MAX_REQUESTS)]);
+
 const NOTICE_SCHEMA = zod.object({
   from: NAME_SCHEMA,
   // Rows by service name.
   rows: zod.record(NAME_SCHEMA, zod.array(ROW_SCHEMA).max(MAX_ROWS)),
+  // VMs with an earlier version of the program send none, and ignore the field.
+  outcomes: zod.array(OUTCOME_SCHEMA).max(MAX_ROWS).default([]),
 });
 
 type EncodedNotice = zod.infer<typeof NOTICE_SCHEMA>;
@@ -28,7 +34,7 @@
     notice.rows.forEach((row) => {
       (rows[row.service] ??= []).push([row.instance, row.deviation, row.inFlight]);
     });
-    return { from: notice.from, rows };
+    return { from: notice.from, rows, outcomes: notice.outcomes.map(({ service, requests, unserved }) => [service, requests, unserved]) };
   }
 
   /**
@@ -40,6 +46,7 @@
     if (!parsed.success) return undefined;
     return {
       from: parsed.data.from,
+      outcomes: parsed.data.outcomes.map(([service, requests, unserved]) => ({ service, requests, unserved })),
       rows: Object.entries(parsed.data.rows).flatMap(([service, rows]) => rows.map(([instance, deviation, inFlight]) => ({
         instance, service, deviation, inFlight,
       }))),
--- a/packages/front/test/links/EvidenceCodec.test.ts
+++ b/packages/front/test/links/EvidenceCodec.test.ts
@@ -12,8 +12,15 @@
 
 vitest.describe('EvidenceCodec', () => {
   vitest.it('decodes an encoded notice to an equal one', () => {
-    const sent = JSON.stringify(front.links.EvidenceCodec.encode({ from: 'vm1', rows: ROWS }));
-    vitest.expect(front.links.EvidenceCodec.decode(JSON.parse(sent))).toEqual({ from: 'vm1', rows: ROWS });
+    const notice = { from: 'vm1', rows: ROWS, outcomes: [{ service: 's1', requests: 40, unserved: 5 }] };
+    const sent = JSON.stringify(front.links.EvidenceCodec.encode(notice));
+    vitest.expect(front.links.EvidenceCodec.decode(JSON.parse(sent))).toEqual(notice);
+  });
+
+  // A fleet is updated one VM at a time.
+  vitest.it('decodes a notice of a VM that sends no outcomes', () => {
+    vitest.expect(front.links.EvidenceCodec.decode({ from: 'vm1', rows: { s1: [['i1', 1.5, 2]] } }))
+      .toEqual({ from: 'vm1', rows: [ROWS[0]], outcomes: [] });
   });
 
   vitest.it.each([
--- a/packages/gateway/src/callers/GatewayOutput.ts
+++ b/packages/gateway/src/callers/GatewayOutput.ts
@@ -3,6 +3,7 @@
 import type * as instanceEvidence from '../upstreams/InstanceEvidence.js';
 import type * as instanceRecord from '../upstreams/InstanceRecord.js';
 import type * as requestArrival from './RequestArrival.js';
+import type * as serviceOutcomes from './ServiceOutcomes.js';
 
 /** Fields of a log line. */
 export type LogFields = Readonly<Record<string, string | number | undefined>>;
@@ -28,8 +29,12 @@
     readonly connectionLimit: number;
   }
   | { readonly type: 'cancel-attempt'; readonly attemptId: string }
-  // Evidence about instances, from the requests of this VM, that is to be sent to the other VMs.
-  | { readonly type: 'evidence-found'; readonly rows: readonly instanceEvidence.InstanceEvidence[] }
+  // Evidence about instances and outcomes of services, from the requests of this VM, that are to be sent to the other VMs.
+  | {
+    readonly type: 'evidence-found';
+    readonly rows: readonly instanceEvidence.InstanceEvidence[];
+    readonly outcomes: readonly serviceOutcomes.ServiceOutcome[];
+  }
   // A request waits for the first configuration.
   | { readonly type: 'catalog-needed' }
   | { readonly type: 'limits-changed'; readonly limits: configuration.CallerLimits }
--- a/packages/gateway/src/callers/RoutedRequestMessage.ts
+++ b/packages/gateway/src/callers/RoutedRequestMessage.ts
@@ -4,6 +4,7 @@
 import type * as instanceRecord from '../upstreams/InstanceRecord.js';
 import type * as retryBudget from './RetryBudget.js';
 import type * as requestArrival from './RequestArrival.js';
+import type * as serviceOutcomes from './ServiceOutcomes.js';
 
 /** Message to the `RoutedRequestTask`. */
 export type RoutedRequestMessage =
@@ -20,7 +21,12 @@
   // A request was held for the longest permitted time and the VM still has no configuration.
   | { readonly type: 'hold-expired'; readonly requestId: string }
   // Evidence was received from another VM.
-  | { readonly type: 'peer-evidence'; readonly from: string; readonly rows: readonly instanceEvidence.InstanceEvidence[] }
+  | {
+    readonly type: 'peer-evidence';
+    readonly from: string;
+    readonly rows: readonly instanceEvidence.InstanceEvidence[];
+    readonly outcomes: readonly serviceOutcomes.ServiceOutcome[];
+  }
   // The VM is being stopped. All requests must have an outcome at `endsAtMs`; until `acceptsUntilMs`, requests are accepted although they
   // may take longer than that.
   | { readonly type: 'stopping'; readonly acceptsUntilMs: number; readonly endsAtMs: number }
--- a/packages/gateway/src/callers/RoutedRequestTask.ts
+++ b/packages/gateway/src/callers/RoutedRequestTask.ts
@@ -141,6 +141,7 @@
         break;
       case 'peer-evidence':
         this.services.applyEvidence(message.from, message.rows, this.options.timers.getNowMs());
+        this.services.applyOutcomes(message.from, message.outcomes, this.options.timers.getNowMs());
         break;
       case 'stopping':
         this.beginStopping(message.acceptsUntilMs, message.endsAtMs);
@@ -449,7 +450,7 @@
     const nowMs = this.options.timers.getNowMs();
     const selected = this.gossip.selectEvidence(this.services.listEvidence(nowMs), nowMs);
     this.services.releaseUnused((instance) => this.gossip.hasReported(instance));
-    if (selected.length > 0) this.options.outbox.post({ type: 'evidence-found', rows: selected });
+    if (selected.length > 0) this.options.outbox.post({ type: 'evidence-found', rows: selected, outcomes: this.services.listOutcomes(nowMs) });
     if (this.attempts.size > 0 || this.services.countUsed() > 0) {
       this.gossipTimer ??= this.options.timers.subscribe({ mailbox: this, message: { type: 'gossip-due' as const }, delayMs: GOSSIP_INTERVAL_MS });
     }
--- a/packages/gateway/src/callers/ServiceConditionLog.ts
+++ b/packages/gateway/src/callers/ServiceConditionLog.ts
@@ -30,7 +30,7 @@
    * @param nowMs - Current time.
    */
   update(service: string, serviceEntry: routedService.RoutedService, evidenceAgeMs: number | undefined, nowMs: number): void {
-    const { requests, unserved } = serviceEntry.outcomes.summarize(nowMs);
+    const { requests, unserved } = serviceEntry.outcomes.summarizeAll(nowMs);
     const condition = requests >= MIN_REQUESTS && unserved > requests * LOGGED_UNSERVED_SHARE ? 'poor' as const : 'good' as const;
     const last = this.logged.get(service);
     if (condition === (last?.condition ?? 'good') && (condition === 'good' || nowMs - last!.atMs < REPEAT_INTERVAL_MS)) return;
--- a/packages/gateway/src/callers/ServiceTable.ts
+++ b/packages/gateway/src/callers/ServiceTable.ts
@@ -6,6 +6,7 @@
 import type * as pooledInstance from '../upstreams/PooledInstance.js';
 import type * as retryBudget from './RetryBudget.js';
 import * as routedService from './RoutedService.js';
+import type * as serviceOutcomes from './ServiceOutcomes.js';
 
 // Evidence that arrives before the first instances is kept for this time, since the others may have started a moment earlier and already
 // lost requests. The number bounds its memory.
@@ -129,6 +130,26 @@
     return this.evidenceReceivedAtMs === undefined ? undefined : Math.round(nowMs - this.evidenceReceivedAtMs);
   }
 
+  /**
+   * Applies the outcomes that another VM has sent.
+   * @param from - Name of the other VM.
+   * @param outcomes - Numbers of its recent requests, by service.
+   * @param nowMs - Current time.
+   */
+  applyOutcomes(from: string, outcomes: readonly serviceOutcomes.ServiceOutcome[], nowMs: number): void {
+    outcomes.forEach((outcome) => this.entries.get(outcome.service)?.outcomes.recordPeer(from, outcome, nowMs));
+  }
+
+  /**
+   * Lists the outcomes of the recent requests of this VM, of the services that had any.
+   * @param nowMs - Current time.
+   */
+  listOutcomes(nowMs: number): serviceOutcomes.ServiceOutcome[] {
+    return [...this.entries]
+      .map(([service, entry]) => ({ service, ...entry.outcomes.summarize(nowMs) }))
+      .filter(({ requests }) => requests > 0);
+  }
+
   private applyRows(from: string, rows: readonly instanceEvidence.InstanceEvidence[], nowMs: number): void {
     rows.forEach((row) => this.entries.get(row.service)?.pool.getInstance(row.instance)?.recordPeerEvidence(from, row, nowMs));
   }
--- a/packages/gateway/src/vms/MembershipMessage.ts
+++ b/packages/gateway/src/vms/MembershipMessage.ts
@@ -1,5 +1,6 @@
 import type * as core from '@tamarackferry/core';
 
+import type * as serviceOutcomes from '../callers/ServiceOutcomes.js';
 import type * as instanceEvidence from '../upstreams/InstanceEvidence.js';
 import type * as vmHeartbeat from './VmHeartbeat.js';
 
@@ -30,8 +31,12 @@
   }
   // A reload of the settings changed the seed hosts or the validity of directory answers.
   | { readonly type: 'settings-changed'; readonly seedHosts: readonly string[]; readonly validityMs: number }
-  // Evidence about instances, from the requests of this VM, that is to be sent to the other VMs.
-  | { readonly type: 'evidence-found'; readonly rows: readonly instanceEvidence.InstanceEvidence[] }
+  // Evidence about instances and outcomes of services, from the requests of this VM, that are to be sent to the other VMs.
+  | {
+    readonly type: 'evidence-found';
+    readonly rows: readonly instanceEvidence.InstanceEvidence[];
+    readonly outcomes: readonly serviceOutcomes.ServiceOutcome[];
+  }
   | { readonly type: 'directory-requested'; readonly place: string; readonly replyTo: core.tasks.Mailbox<DirectoryAnswer> }
   | { readonly type: 'readiness-requested'; readonly replyTo: core.tasks.Mailbox<vmHeartbeat.VmState> };
 
@@ -40,6 +45,8 @@
   /** Name of the VM that sends the evidence. */
   readonly from: string;
   readonly rows: readonly instanceEvidence.InstanceEvidence[];
+  /** Numbers of its recent requests, by service. */
+  readonly outcomes: readonly serviceOutcomes.ServiceOutcome[];
 }
 
 /** Message from the `MembershipTask` to the task that owns the datagram socket. */
--- a/packages/gateway/src/vms/MembershipTask.ts
+++ b/packages/gateway/src/vms/MembershipTask.ts
@@ -1,5 +1,6 @@
 import * as core from '@tamarackferry/core';
 
+import type * as serviceOutcomes from '../callers/ServiceOutcomes.js';
 import type * as gatewayOutput from '../callers/GatewayOutput.js';
 import type * as catalogMessage from '../contracts/CatalogMessage.js';
 import type * as instanceEvidence from '../upstreams/InstanceEvidence.js';
@@ -86,6 +87,9 @@
   // Evidence for the fronts of other places.
   private readonly batch = new evidenceBatch.EvidenceBatch();
 
+  // Latest outcomes of the requests of this VM.
+  private outcomes: readonly serviceOutcomes.ServiceOutcome[] = [];
+
   private seedHosts: readonly string[];
 
   private validityMs: number;
@@ -137,6 +141,7 @@
         this.sendHeartbeat(this.seedHosts, 'wanted');
         break;
       case 'evidence-found':
+        this.outcomes = message.outcomes;
         this.sendEvidence(message.rows);
         break;
       case 'directory-requested':
@@ -271,7 +276,8 @@
   private sendRows(hosts: readonly string[], rows: readonly instanceEvidence.InstanceEvidence[]): void {
     const { self, outbox } = this.options;
     const others = hosts.filter((host) => host !== self.host);
-    if (rows.length > 0 && others.length > 0) outbox.post({ type: 'send-evidence', hosts: others, notice: { from: self.name, rows } });
+    if (rows.length === 0 || others.length === 0) return;
+    outbox.post({ type: 'send-evidence', hosts: others, notice: { from: self.name, rows, outcomes: this.outcomes } });
   }
 
   private listFronts(place: string): string[] {
--- a/packages/gateway/test/FleetReplay.test.ts
+++ b/packages/gateway/test/FleetReplay.test.ts
@@ -66,12 +66,12 @@
     const rows = [{
       instance: 'i1', service: 's1', deviation: 2.5, inFlight: 0,
     }];
-    vm!.membership.post({ type: 'evidence-found', rows });
+    vm!.membership.post({ type: 'evidence-found', rows, outcomes: [] });
     // All of its place, and those of the other place that it has met.
     vitest.expect(fleet.evidenceHosts.size).toBeGreaterThanOrEqual(9);
     fleet.evidenceHosts.clear();
     fleet.timers.advanceTo(20_000);
-    vm!.membership.post({ type: 'evidence-found', rows });
+    vm!.membership.post({ type: 'evidence-found', rows, outcomes: [] });
     vitest.expect(fleet.evidenceHosts.size).toBe(4);
   });
 });
--- a/packages/gateway/test/LoadReplay.ts
+++ b/packages/gateway/test/LoadReplay.ts
@@ -73,7 +73,10 @@
 
   private readonly attempts = new Map<string, SentAttempt>();
 
-  private readonly outcomes: { readonly service: string; readonly atMs: number; readonly result: 'served' | 'unserved' }[] = [];
+  // Latest outcomes that each VM reported.
+  private readonly outcomes = new Map<number, readonly gateway.callers.ServiceOutcome[]>();
+
+  private readonly ended: { readonly service: string; readonly atMs: number; readonly result: 'served' | 'unserved' }[] = [];
 
   private requestCount = 0;
 
@@ -173,7 +176,7 @@
   }
 
   private isServedPoorly(service: string, atMs: number): boolean {
-    const recent = this.outcomes.filter((outcome) => outcome.service === service && outcome.atMs >= atMs - USE_SPAN_MS);
+    const recent = this.ended.filter((outcome) => outcome.service === service && outcome.atMs >= atMs - USE_SPAN_MS);
     const unservedShare = recent.filter((outcome) => outcome.result === 'unserved').length / Math.max(1, recent.length);
     return unservedShare > POOR_SHARE && unservedShare < FAILING_SHARE;
   }
@@ -222,6 +225,7 @@
         this.endAttempt(`${vm}/${output.attemptId}`, { type: 'cancelled' });
         break;
       case 'evidence-found':
+        this.outcomes.set(vm, output.outcomes);
         this.sendEvidence(vm, output.rows, 'same-place');
         this.sendEvidence(vm, this.batches[vm]!.add(output.rows, this.timers.getNowMs()), 'other-place');
         break;
@@ -238,8 +242,11 @@
     if (rows.length === 0) return;
     const placeOf = (index: number): number => Math.floor(index / this.pattern.vmsPerPlace);
     const others = this.vms.filter((_, other) => other !== vm && (placeOf(other) === placeOf(vm)) === (to === 'same-place'));
+    const outcomes = this.outcomes.get(vm) ?? [];
     this.schedule(PEER_DELAY_MS, () => others.forEach((other) => {
-      other.post({ type: 'peer-evidence', from: String(vm), rows: this.selectEvidence(rows) });
+      other.post({
+        type: 'peer-evidence', from: String(vm), rows: this.selectEvidence(rows), outcomes,
+      });
     }));
   }
 
@@ -283,7 +290,7 @@
     const result = this.results.get(arrival.route)!;
     const route = this.pattern.routes.find((candidate) => candidate.name === arrival.route)!;
     const isServed = output.type === 'answer' && output.answer.status < 300;
-    this.outcomes.push({ service: route.service, atMs: this.timers.getNowMs(), result: isServed ? 'served' : 'unserved' });
+    this.ended.push({ service: route.service, atMs: this.timers.getNowMs(), result: isServed ? 'served' : 'unserved' });
     const elapsedMs = this.timers.getNowMs() - arrival.atMs;
     if (isServed) {
       if (elapsedMs <= route.objectiveMs) result.onTime += 1;
--- a/packages/gateway/test/callers/RoutedRequestTask.test.ts
+++ b/packages/gateway/test/callers/RoutedRequestTask.test.ts
@@ -296,6 +296,7 @@
     tested.task.post({
       type: 'peer-evidence',
       from: 'vm-2',
+      outcomes: [],
       rows: [{
         instance: attempt!.instance.id, service: 's1', deviation: 5, inFlight: 0,
       }],
@@ -311,7 +312,9 @@
     const failing = INSTANCES.slice(0, 2).map((record) => ({
       instance: record.id, service: 's1', deviation: 5, inFlight: 0,
     }));
-    ['vm-2', 'vm-3'].forEach((from) => tested.task.post({ type: 'peer-evidence', from, rows: failing }));
+    ['vm-2', 'vm-3'].forEach((from) => tested.task.post({
+      type: 'peer-evidence', from, rows: failing, outcomes: [],
+    }));
     tested.timers.advanceTo(300);
     tested.applyConfiguration([NON_IDEMPOTENT], INSTANCES);
     [1, 2].forEach(() => tested.sendRequest());
--- a/packages/proof/src/bench/GatewayBench.ts
+++ b/packages/proof/src/bench/GatewayBench.ts
@@ -66,6 +66,7 @@
     Array.from({ length: PEERS }, (_, peer) => task.post({
       type: 'peer-evidence',
       from: `vm-${peer}`,
+      outcomes: [],
       rows: records.map((record) => ({
         instance: record.id, service: record.service, deviation: 0, inFlight: 1,
       })),
