--- a/packages/gateway/test/LoadPattern.ts
+++ b/packages/gateway/test/LoadPattern.ts
@@ -35,4 +35,12 @@
   readonly slow?: { readonly share: number; readonly factor: number; readonly fromMs: number; readonly toMs: number };
   /** Instances of a service that reject a share of their requests for some time, even if they have free slots. */
   readonly shed?: { readonly service: string; readonly share: number; readonly fromMs: number; readonly toMs: number };
+  /** Instances of a service that state a limit for some time: the requests per second that each accepts from all VMs together. */
+  readonly limit?: {
+    readonly service: string;
+    readonly share: number;
+    readonly perSecond: number;
+    readonly fromMs: number;
+    readonly toMs: number;
+  };
 }
--- a/packages/gateway/test/LoadReplay.test.ts
+++ b/packages/gateway/test/LoadReplay.test.ts
@@ -86,6 +86,12 @@
     shares.forEach((share) => vitest.expect(share).toBeGreaterThanOrEqual(MIN_USED_SHARE));
   });
 
+  vitest.it.each([
+    ['most instances', loadPatterns.LIMITED], ['all instances, tightly', loadPatterns.TIGHTLY_LIMITED],
+  ] as const)('sends an instance no more requests than the limit that it states, over all VMs (%s)', (_, pattern) => {
+    SEEDS.forEach((seed) => vitest.expect(replayPattern(pattern, seed).computeLimitExcess()).toBeLessThanOrEqual(0));
+  });
+
   vitest.it.each([
     ['overload', loadPatterns.OVERLOAD], MOSTLY_GRAY,
   ] as const)('achieves more benefit if the VMs send each other their numbers of requests in flight (%s)', (_, pattern) => {
--- a/packages/gateway/test/LoadReplay.ts
+++ b/packages/gateway/test/LoadReplay.ts
@@ -20,6 +20,13 @@
 const POOR_SHARE = 0.1;
 const FAILING_SHARE = 0.5;
 
+// From this time after an instance first stated its limit, it may receive in any span of the given length the stated rate times the factor,
+// and the slack, as the rules of the users say.
+const LIMIT_NOTICE_MS = 3_000;
+const LIMIT_SPAN_MS = 4_000;
+const LIMIT_FACTOR = 1.5;
+const LIMIT_SLACK = 5;
+
 // Distance of the instance seeds of consecutive replay seeds; more than the instances of a pattern, so that no two seeds are equal.
 const SEED_SPACING = 1_000;
 
@@ -119,6 +126,30 @@
       / Math.max(1, instances.reduce((sum, instance) => sum + instance.countGraySpells(), 0));
   }
 
+  /**
+   * Computes the greatest number of requests that an instance received in a span of four seconds beyond what its limit permits. Negative if
+   * all limits were kept.
+   */
+  computeLimitExcess(): number {
+    const { limit } = this.pattern;
+    if (limit === undefined) return -Infinity;
+    const permitted = (LIMIT_FACTOR * limit.perSecond * LIMIT_SPAN_MS) / 1_000 + LIMIT_SLACK;
+    return Math.max(...[...this.instances.values()].map((instance) => {
+      const counted = instance.limitedArrivalsMs.filter((atMs) => atMs >= limit.fromMs + LIMIT_NOTICE_MS);
+      const sums = counted.map((fromMs) => counted.filter((atMs) => atMs >= fromMs && atMs < fromMs + LIMIT_SPAN_MS).length);
+      return Math.max(0, ...sums) - permitted;
+    }));
+  }
+
+  /** Computes the share of the stated limits that the VMs used, from the same time on. */
+  computeLimitUse(): number {
+    const { limit } = this.pattern;
+    if (limit === undefined) return 0;
+    const limited = [...this.instances.values()].filter((instance) => instance.limitedArrivalsMs.length > 0);
+    const arrivals = limited.flatMap((instance) => instance.limitedArrivalsMs).filter((atMs) => atMs >= limit.fromMs + LIMIT_NOTICE_MS);
+    return arrivals.length / ((limited.length * limit.perSecond * (limit.toMs - limit.fromMs - LIMIT_NOTICE_MS)) / 1_000);
+  }
+
   private startInstances(seed: number): void {
     this.pattern.services.forEach((service) => Array.from({ length: service.instances }, (_, index) => {
       const id = `${service.name}-${index}`;
--- a/packages/gateway/test/SimulatedInstance.ts
+++ b/packages/gateway/test/SimulatedInstance.ts
@@ -1,5 +1,5 @@
 import type * as core from '@tamarackferry/core';
-import * as gateway from '@tamarackferry/gateway';
+import type * as gateway from '@tamarackferry/gateway';
 
 import type * as loadPattern from './LoadPattern.js';
 import * as testGateway from './TestGateway.js';
@@ -40,6 +40,9 @@
   /** Requests that it failed at once during gray failures. */
   failedFast = 0;
 
+  /** Times at which it received a request while it stated a limit. */
+  readonly limitedArrivalsMs: number[] = [];
+
   private waiting: Work[] = [];
 
   // State in each span, drawn at the start so that the gray failures of a seed do not depend on the decisions of the VMs.
@@ -50,11 +53,14 @@
 
   private readonly speed: 'slow' | 'usual';
 
+  private readonly limitation: 'limited' | 'unlimited';
+
   /** @param options - Instance and pattern. */
   constructor(readonly options: SimulatedInstanceOptions) {
     const { random, pattern } = options;
     this.phase = random.drawFraction();
     this.speed = random.drawFraction() < (pattern.slow?.share ?? 0) ? 'slow' : 'usual';
+    this.limitation = pattern.limit?.service === options.record.service && random.drawFraction() < pattern.limit.share ? 'limited' : 'unlimited';
     this.spans = Array.from({ length: Math.ceil(pattern.lengthMs / pattern.gray.spanMs) + 2 }, () => (
       random.drawFraction() < pattern.gray.share ? 'gray' : 'healthy'
     ));
@@ -69,6 +75,7 @@
   receive(key: string, workMs: number, reply: Work['reply']): void {
     const work = { key, workMs, reply };
     this.usedAtMs = this.options.timers.getNowMs();
+    if (this.getLimit() !== undefined) this.limitedArrivalsMs.push(this.usedAtMs);
     if (this.isShedding()) reply({ type: 'not-run', statement: this.buildStatement() });
     else if (this.running.size < this.options.record.slots) this.start(work);
     else if (this.waiting.length < QUEUE_LENGTH) this.waiting.push(work);
@@ -117,8 +124,9 @@
   }
 
   private buildStatement(): gateway.upstreams.InstanceStatement {
+    const limit = this.getLimit();
     return {
-      ...gateway.upstreams.EMPTY_STATEMENT,
+      limit: limit === undefined ? { type: 'none' } : { type: 'stated', perSecond: limit },
       load: { running: this.running.size, waiting: this.waiting.length, slots: this.options.record.slots },
     };
   }
@@ -144,6 +152,13 @@
     return this.spans.slice(0, current + 1).filter((state, index, all) => state === 'gray' && all[index - 1] !== 'gray').length;
   }
 
+  /** Gets the limit that it states now, in requests per second. Undefined if it states none. */
+  getLimit(): number | undefined {
+    const { limit } = this.options.pattern;
+    const nowMs = this.options.timers.getNowMs();
+    return limit !== undefined && this.limitation === 'limited' && nowMs >= limit.fromMs && nowMs < limit.toMs ? limit.perSecond : undefined;
+  }
+
   private isShedding(): boolean {
     const { shed } = this.options.pattern;
     const nowMs = this.options.timers.getNowMs();
--- a/packages/gateway/test/loadPatterns.ts
+++ b/packages/gateway/test/loadPatterns.ts
@@ -153,3 +153,24 @@
     share: 0.35, spanMs: 3_000, affectedShare: 0.75, failure: 'unanswered',
   },
 };
+
+/**
+ * As `MODERATE`, with instances that do not fail, most of which state a limit: together with the others they can take all requests, if the
+ * VMs use nearly all that the limits permit.
+ */
+export const LIMITED: loadPattern.LoadPattern = {
+  ...MODERATE,
+  routes: MODERATE.routes.map((route) => ({ ...route, perSecond: route.perSecond * 1.5 })),
+  gray: { ...GRAY, share: 0 },
+  limit: {
+    service: 's1', share: 0.7, perSecond: 2.6, fromMs: 6_000, toMs: 25_000,
+  },
+};
+
+/** As `LIMITED`, with limits so low that the instances can take about half of the requests. */
+export const TIGHTLY_LIMITED: loadPattern.LoadPattern = {
+  ...LIMITED,
+  limit: {
+    service: 's1', share: 1, perSecond: 1.2, fromMs: 6_000, toMs: 25_000,
+  },
+};
