Keep the requests of all VMs within the limit that an instance states

Cause: the front process did not read the header (first hypothesis). The class of fault: an agreement with an instance that binds the whole fleet, while each VM decides for itself. So a fix in one VM is not enough (second hypothesis), and a VM that starts or takes over has to learn the limits (third).

The adapter decodes the header into the statement of the answer; the record of the instance in the pool keeps it in the order in which the requests were sent; evidence shares it, with a count of the requests that each VM has sent. A limit counts in the slots of a service, does not make an instance suspect, and does not count against the floor. New log events limit-changed and statement-unreadable, gauge limited_instances.

--- a/packages/front/src/links/EvidenceCodec.ts
+++ b/packages/front/src/links/EvidenceCodec.ts
@@ -5,6 +5,9 @@
 const MAX_ROWS = 1_000;
 const MAX_IN_FLIGHT = 10_000;
 const MAX_REQUESTS = 1_000_000;
+const MAX_LIMIT_PER_SECOND = 1e6;
+const MAX_LIMIT_AGE_MS = 86_400_000;
+const MAX_SENT = 1e12;
 
 // Instance id, log odds above the prior that the instance has a gray failure (`deviation`), requests in flight. A tuple has no
 // field names to encode: notices are sent many times a second, and traffic between places is charged by the byte.
@@ -13,14 +16,27 @@
 // Service, requests that ended recently, and those of them that were not served.
 const OUTCOME_SCHEMA = zod.tuple([NAME_SCHEMA, zod.number().int().min(0).max(MAX_REQUESTS), zod.number().int().min(0).max(MAX_REQUESTS)]);
 
+// Limit that an instance states: instance id, requests per second (null if the limit has ended), age of the statement in milliseconds, and
+// number of requests that the VM has sent since.
+const LIMIT_SCHEMA = zod.tuple([
+  NAME_SCHEMA,
+  zod.number().min(0).max(MAX_LIMIT_PER_SECOND).nullable(),
+  zod.number().int().min(0).max(MAX_LIMIT_AGE_MS),
+  zod.number().int().min(0).max(MAX_SENT),
+]);
+
 const NOTICE_SCHEMA = zod.object({
   from: NAME_SCHEMA,
   // Rows by service name.
   rows: zod.record(NAME_SCHEMA, zod.array(ROW_SCHEMA).max(MAX_ROWS)),
   // VMs with an earlier version of the program send none, and ignore the field.
   outcomes: zod.array(OUTCOME_SCHEMA).max(MAX_ROWS).default([]),
+  // In a field of their own, which VMs with an earlier version of the program ignore.
+  limits: zod.array(LIMIT_SCHEMA).max(MAX_ROWS).optional(),
 });
 
+type EncodedOutcome = zod.infer<typeof OUTCOME_SCHEMA>;
+type EncodedLimit = zod.infer<typeof LIMIT_SCHEMA>;
 type EncodedNotice = zod.infer<typeof NOTICE_SCHEMA>;
 
 /** Encodes and decodes notices by which VMs exchange health observations about instances. */
@@ -34,7 +50,13 @@
     notice.rows.forEach((row) => {
       (rows[row.service] ??= []).push([row.instance, row.deviation, row.inFlight]);
     });
-    return { from: notice.from, rows, outcomes: notice.outcomes.map(({ service, requests, unserved }) => [service, requests, unserved]) };
+    const outcomes = notice.outcomes.map(({ service, requests, unserved }): EncodedOutcome => [service, requests, unserved]);
+    const limits = notice.rows.flatMap((row): EncodedLimit[] => (row.limit === undefined
+      ? []
+      : [[row.instance, row.limit.perSecond ?? null, Math.min(MAX_LIMIT_AGE_MS, row.limit.ageMs), row.limit.sent]]));
+    return limits.length === 0 ? { from: notice.from, rows, outcomes } : {
+      from: notice.from, rows, outcomes, limits,
+    };
   }
 
   /**
@@ -44,11 +66,14 @@
   static decode(value: unknown): gateway.vms.EvidenceNotice | undefined {
     const parsed = NOTICE_SCHEMA.safeParse(value);
     if (!parsed.success) return undefined;
+    const limits = new Map(parsed.data.limits?.map(([instance, perSecond, ageMs, sent]) => [
+      instance, { perSecond: perSecond ?? undefined, ageMs, sent },
+    ]));
     return {
       from: parsed.data.from,
       outcomes: parsed.data.outcomes.map(([service, requests, unserved]) => ({ service, requests, unserved })),
       rows: Object.entries(parsed.data.rows).flatMap(([service, rows]) => rows.map(([instance, deviation, inFlight]) => ({
-        instance, service, deviation, inFlight,
+        instance, service, deviation, inFlight, limit: limits.get(instance),
       }))),
     };
   }
--- a/packages/front/src/metrics/ProcessMetrics.ts
+++ b/packages/front/src/metrics/ProcessMetrics.ts
@@ -46,6 +46,7 @@
     this.addGauge('known_vms', 'Other VMs that were lately heard', () => sources.membership.countReachableVms());
     this.addGauge('open_requests', 'Requests in progress', () => sources.requests.countRequests());
     this.addGauge('waiting_requests', 'Requests that wait for an instance', () => sources.requests.countWaiting());
+    this.addGauge('limited_instances', 'Instances that state a limit', () => sources.requests.countLimitedInstances());
     this.addGauge('upstream_connections', 'Open connections to instances', sources.countConnections);
   }
 
--- a/packages/front/src/vms/FrontProcess.ts
+++ b/packages/front/src/vms/FrontProcess.ts
@@ -115,6 +115,7 @@
       timers,
       random,
       outbox,
+      vm: settings.name,
       place: settings.place,
       budget: FrontProcess.computeRetryBudget(settings),
       floorShare: settings.floorShare,
--- a/packages/front/test/TestUpstreamDialect.ts
+++ b/packages/front/test/TestUpstreamDialect.ts
@@ -12,10 +12,14 @@
       echo: headers.get('request-id') === callerRequestId ? 'matched' : 'mismatched',
       execution: TestUpstreamDialect.parseExecution(headers),
       seal: headers.has('seal') ? 'present' : 'absent',
-      statement: gateway.upstreams.EMPTY_STATEMENT,
+      statement: { ...gateway.upstreams.EMPTY_STATEMENT, limit: TestUpstreamDialect.parseLimit(headers.get('limit')) },
     };
   }
 
+  private static parseLimit(text: string | undefined): gateway.upstreams.StatedLimit {
+    return text === undefined ? { type: 'none' } : { type: 'stated', perSecond: Number(text) };
+  }
+
   private static parseExecution(headers: ReadonlyMap<string, string>): front.upstreams.ResponseMetadata['execution'] {
     if (headers.has('misdirected')) return 'misdirected';
     return headers.has('not-run') ? 'not-run' : 'may-have-run';
--- a/packages/front/test/links/EvidenceCodec.test.ts
+++ b/packages/front/test/links/EvidenceCodec.test.ts
@@ -23,7 +23,26 @@
       .toEqual({ from: 'vm1', rows: [ROWS[0]], outcomes: [] });
   });
 
+  vitest.it('keeps the limits of instances, and that one has ended', () => {
+    const rows = [
+      { ...ROWS[0]!, limit: { perSecond: 2.6, ageMs: 120, sent: 7 } },
+      { ...ROWS[1]!, limit: { perSecond: undefined, ageMs: 40, sent: 0 } },
+    ];
+    const sent = JSON.stringify(front.links.EvidenceCodec.encode({ from: 'vm1', rows, outcomes: [] }));
+    vitest.expect(front.links.EvidenceCodec.decode(JSON.parse(sent))).toEqual({ from: 'vm1', rows, outcomes: [] });
+  });
+
+  // A fleet is updated one VM at a time.
+  vitest.it('leaves the rows readable for VMs that know of no limits', () => {
+    const encoded = front.links.EvidenceCodec.encode({
+      from: 'vm1', rows: [{ ...ROWS[0]!, limit: { perSecond: 2.6, ageMs: 120, sent: 7 } }], outcomes: [],
+    });
+    vitest.expect(encoded.rows).toEqual({ s1: [['i1', 1.5, 2]] });
+  });
+
   vitest.it.each([
+    ['a negative limit', { from: 'vm1', rows: { s1: [['i1', 1, 0]] }, limits: [['i1', -1, 0, 0]] }],
+    ['an absurd limit', { from: 'vm1', rows: { s1: [['i1', 1, 0]] }, limits: [['i1', 1e9, 0, 0]] }],
     ['a row without a request count', { from: 'vm1', rows: { s1: [['i1', 1]] } }],
     ['a negative request count', { from: 'vm1', rows: { s1: [['i1', 1, -1]] } }],
     ['log odds out of range', { from: 'vm1', rows: { s1: [['i1', 1e9, 0]] } }],
--- a/packages/front/test/upstreams/RoutedConnections.test.ts
+++ b/packages/front/test/upstreams/RoutedConnections.test.ts
@@ -274,4 +274,13 @@
     vitest.expect(await large).toEqual({ type: 'broken' });
     vitest.expect(await small).toMatchObject({ type: 'answered' });
   });
+
+  vitest.it('passes on what an instance states about itself, but not from a copy of an earlier answer', async () => {
+    const port = await startInstance((socket, requestId) => {
+      const echoed = requestId === 'q2' ? 'q1' : requestId;
+      socket.write(`HTTP/1.1 200 OK\r\nrequest-id: ${echoed}\r\nseal: s\r\nlimit: 2.6\r\ncontent-length: 0\r\n\r\n`);
+    });
+    vitest.expect(await tested.sendAttempt(port, 'q1')).toMatchObject({ type: 'answered', statement: { limit: { type: 'stated', perSecond: 2.6 } } });
+    vitest.expect(await tested.sendAttempt(port, 'q2')).toEqual({ type: 'broken' });
+  });
 });
--- a/packages/gateway/src/callers/AdmissionPolicy.ts
+++ b/packages/gateway/src/callers/AdmissionPolicy.ts
@@ -1,6 +1,6 @@
 /** Load of a service at the time at which a request finds no free slot. */
 export interface ServiceLoad {
-  /** Number of slots of all instances that accept new requests. */
+  /** Number of slots of all instances that accept new requests, as far as the limits of the instances permit to fill them. */
   readonly slots: number;
   /** Number of waiting requests that are served before this one. */
   readonly requestsAhead: number;
@@ -26,7 +26,9 @@
    */
   estimateWaitMs(load: ServiceLoad): number {
     if (load.slots === 0) return Infinity;
-    const slotReleaseIntervalMs = load.slotReleaseIntervalMs ?? load.serviceMs / Math.max(1, load.slots * ASSUMED_SLOT_SHARE);
+    // Less than one slot if the instances accept fewer requests than one at a time.
+    const assumedSlots = Math.max(Math.min(1, load.slots), load.slots * ASSUMED_SLOT_SHARE);
+    const slotReleaseIntervalMs = load.slotReleaseIntervalMs ?? load.serviceMs / assumedSlots;
     return (load.requestsAhead + 1) * slotReleaseIntervalMs;
   }
 
--- a/packages/gateway/src/callers/OutcomeReporter.ts
+++ b/packages/gateway/src/callers/OutcomeReporter.ts
@@ -38,8 +38,14 @@
    * @param request - Request.
    * @param reason - Reason of the refusal.
    * @param load - Load of the service of the request.
+   * @param limitedInstances - Number of instances of the service that state a limit.
    */
-  refuse(request: routedRequest.RoutedRequest, reason: requestArrival.RefusalReason, load: admissionPolicy.ServiceLoad): void {
+  refuse(
+    request: routedRequest.RoutedRequest,
+    reason: requestArrival.RefusalReason,
+    load: admissionPolicy.ServiceLoad,
+    limitedInstances: number,
+  ): void {
     const { outbox, admission, random } = this.options;
     outbox.post({
       type: 'refuse',
@@ -48,7 +54,12 @@
       retryAfterMs: admission.computeRetryAfterMs(load, random.drawFraction()),
     });
     this.options.log.logRequest('request-refused', request, {
-      reason, attempts: request.attempts.length, waiting: load.requestsAhead, slots: load.slots, serviceMs: Math.round(load.serviceMs),
+      reason,
+      attempts: request.attempts.length,
+      waiting: load.requestsAhead,
+      slots: Number(load.slots.toFixed(1)),
+      limited: limitedInstances,
+      serviceMs: Math.round(load.serviceMs),
     });
   }
 
--- a/packages/gateway/src/callers/RoutedRequestTask.ts
+++ b/packages/gateway/src/callers/RoutedRequestTask.ts
@@ -18,6 +18,7 @@
 import type * as routedService from './RoutedService.js';
 import * as serviceConditionLog from './ServiceConditionLog.js';
 import * as serviceTable from './ServiceTable.js';
+import * as statementLog from './StatementLog.js';
 import * as stopSchedule from './StopSchedule.js';
 import * as waitingPolicy from './WaitingPolicy.js';
 
@@ -44,6 +45,8 @@
   readonly timers: core.time.TimerService;
   readonly random: core.randomness.RandomSource;
   readonly outbox: core.tasks.Mailbox<gatewayOutput.GatewayOutput>;
+  /** Name of the VM. */
+  readonly vm: string;
   /** Place of the VM. */
   readonly place: string;
   /** This VM's share of the retries that all VMs may send together. */
@@ -68,6 +71,8 @@
 
   private readonly requestLog: requestLog.RequestLog;
 
+  private readonly statementLog: statementLog.StatementLog;
+
   private readonly conditionLog: serviceConditionLog.ServiceConditionLog;
 
   // `stale` if neither the store nor another VM has recently confirmed that the catalog is up to date.
@@ -92,7 +97,8 @@
   /** @param options - Dependencies and settings of the task. */
   constructor(private readonly options: RoutedRequestTaskOptions) {
     super(options.scheduler);
-    this.services = new serviceTable.ServiceTable(options);
+    this.statementLog = new statementLog.StatementLog(options.outbox);
+    this.services = new serviceTable.ServiceTable({ ...options, statementLog: this.statementLog });
     this.routes = new activeRoutes.ActiveRoutes(options.random);
     this.requestLog = new requestLog.RequestLog(options.outbox, options.timers);
     this.conditionLog = new serviceConditionLog.ServiceConditionLog(options.outbox);
@@ -109,6 +115,12 @@
     return this.services.listServices().reduce((sum, serviceEntry) => sum + serviceEntry.queue.countWaiting(), 0);
   }
 
+  /** Counts the instances that state a limit. */
+  countLimitedInstances(): number {
+    const nowMs = this.options.timers.getNowMs();
+    return this.services.listServices().reduce((sum, serviceEntry) => sum + serviceEntry.pool.countLimited(nowMs), 0);
+  }
+
   /** @internal */
   override handle(message: routedRequestMessage.RoutedRequestMessage): void {
     switch (message.type) {
@@ -307,7 +319,7 @@
     if (request === undefined || attempt === undefined) return;
     this.attempts.delete(attemptId);
     attempt.state = ending.type === 'unsent' ? 'unsent' : 'ended';
-    attempt.instance.endAttempt(attemptId, ending, this.options.timers.getNowMs());
+    this.recordAttemptEnd(attempt, ending);
     this.services.getService(request.options.service).slotReleaseRate.record(this.options.timers.getNowMs());
     this.requestLog.logAttempt(request, attempt, ending);
     if (RoutedRequestTask.isFailure(ending)) this.publishEvidence();
@@ -315,6 +327,17 @@
     this.serveQueue(this.services.getService(request.options.service));
   }
 
+  private recordAttemptEnd(attempt: routedRequest.RoutedAttempt, ending: attemptEnding.AttemptEnding): void {
+    const { attemptId, instance } = attempt;
+    const previousPerSecond = instance.getLimit();
+    instance.endAttempt(attemptId, ending, this.options.timers.getNowMs());
+    this.statementLog.logLimit(instance, previousPerSecond, 'answer');
+    const limit = ending.type === 'answered' || ending.type === 'not-run' ? ending.statement.limit : undefined;
+    if (limit?.type === 'unreadable') this.statementLog.logUnreadable(instance, limit.text);
+    // The other VMs must know of a new limit before they send the instance more than it accepts.
+    if (instance.getLimit() !== previousPerSecond) this.publishEvidence();
+  }
+
   private static isFailure(ending: attemptEnding.AttemptEnding): boolean {
     return ending.type === 'answered' ? ending.answer.status >= 500 : ending.type === 'reset' || ending.type === 'broken';
   }
@@ -406,7 +429,8 @@
     const serviceEntry = this.services.getService(request.options.service);
     const requestsAhead = serviceEntry.queue.countServedBefore(request);
     const nowMs = this.options.timers.getNowMs();
-    this.reporter.refuse(request, reason, waitingPolicy.WaitingPolicy.buildLoad(request, serviceEntry, requestsAhead, nowMs));
+    const load = waitingPolicy.WaitingPolicy.buildLoad(request, serviceEntry, requestsAhead, nowMs);
+    this.reporter.refuse(request, reason, load, serviceEntry.pool.countLimited(nowMs));
     this.recordOutcome(request, 'unserved');
     this.endRequest(request);
   }
--- a/packages/gateway/src/callers/ServiceTable.ts
+++ b/packages/gateway/src/callers/ServiceTable.ts
@@ -4,9 +4,11 @@
 import type * as instanceEvidence from '../upstreams/InstanceEvidence.js';
 import type * as instanceRecord from '../upstreams/InstanceRecord.js';
 import type * as pooledInstance from '../upstreams/PooledInstance.js';
+import * as activeVms from '../vms/ActiveVms.js';
 import type * as retryBudget from './RetryBudget.js';
 import * as routedService from './RoutedService.js';
 import type * as serviceOutcomes from './ServiceOutcomes.js';
+import type * as statementLog from './StatementLog.js';
 
 // Evidence that arrives before the first instances is kept for this time, since the others may have started a moment earlier and already
 // lost requests. The number bounds its memory.
@@ -21,6 +23,8 @@
 
 /** Options of a `ServiceTable`. */
 export interface ServiceTableOptions {
+  /** Name of the VM. */
+  readonly vm: string;
   /** Place of the VM. */
   readonly place: string;
   readonly random: core.randomness.RandomSource;
@@ -28,6 +32,7 @@
   readonly budget: retryBudget.RetryBudgetOptions;
   /** Smallest share of the sound instances of a service that must be used while many of its requests are not served. */
   readonly floorShare: number;
+  readonly statementLog: statementLog.StatementLog;
 }
 
 /** States of all services in this VM. */
@@ -42,11 +47,14 @@
 
   private budget: retryBudget.RetryBudgetOptions;
 
+  private readonly activeVms: activeVms.ActiveVms;
+
   private evidenceReceivedAtMs: number | undefined;
 
   /** @param options - Place of the VM, random source and retry budget. */
   constructor(private readonly options: ServiceTableOptions) {
     this.budget = options.budget;
+    this.activeVms = new activeVms.ActiveVms(options.vm);
   }
 
   /**
@@ -59,7 +67,7 @@
     const { place, random, floorShare } = this.options;
     const created = new routedService.RoutedService({
       pool: {
-        service, place, random, floorShare,
+        service, place, random, floorShare, activeVms: this.activeVms,
       },
       budget: this.budget,
     });
@@ -118,6 +126,7 @@
    */
   applyEvidence(from: string, rows: readonly instanceEvidence.InstanceEvidence[], nowMs: number): void {
     this.evidenceReceivedAtMs = nowMs;
+    this.activeVms.record(from, nowMs);
     if (this.entries.size > 0) this.applyRows(from, rows, nowMs);
     else if (this.early.length < MAX_EARLY_NOTICES) this.early.push({ from, rows, atMs: nowMs });
   }
@@ -151,7 +160,13 @@
   }
 
   private applyRows(from: string, rows: readonly instanceEvidence.InstanceEvidence[], nowMs: number): void {
-    rows.forEach((row) => this.entries.get(row.service)?.pool.getInstance(row.instance)?.recordPeerEvidence(from, row, nowMs));
+    rows.forEach((row) => {
+      const instance = this.entries.get(row.service)?.pool.getInstance(row.instance);
+      if (instance === undefined) return;
+      const previousPerSecond = instance.getLimit();
+      instance.recordPeerEvidence(from, row, nowMs);
+      this.options.statementLog.logLimit(instance, previousPerSecond, from);
+    });
   }
 
   /**
@@ -172,6 +187,7 @@
       service: instance.getRecord().service,
       deviation: Number(instance.computeDeviation(nowMs).toFixed(2)),
       inFlight: instance.countInFlight(),
+      limit: instance.buildLimitEvidence(nowMs),
     }));
   }
 
--- a/packages/gateway/src/callers/WaitingPolicy.ts
+++ b/packages/gateway/src/callers/WaitingPolicy.ts
@@ -95,11 +95,12 @@
     requestsAhead: number,
     nowMs: number,
   ): admissionPolicy.ServiceLoad {
+    const serviceMs = request.options.durations.estimateQuantile(SERVICE_TIME_QUANTILE);
     return {
-      slots: serviceEntry.pool.countSlots(),
+      slots: serviceEntry.pool.estimateUsableSlots(serviceMs, nowMs),
       requestsAhead,
       slotReleaseIntervalMs: serviceEntry.slotReleaseRate.estimateIntervalMs(nowMs),
-      serviceMs: request.options.durations.estimateQuantile(SERVICE_TIME_QUANTILE),
+      serviceMs,
     };
   }
 }
--- a/packages/gateway/src/callers/index.ts
+++ b/packages/gateway/src/callers/index.ts
@@ -15,5 +15,6 @@
 export * from './ServiceConditionLog.js';
 export * from './ServiceOutcomes.js';
 export * from './ServiceTable.js';
+export * from './StatementLog.js';
 export * from './WaitQueue.js';
 export * from './WaitingPolicy.js';
--- a/packages/gateway/src/upstreams/EvidenceGossip.ts
+++ b/packages/gateway/src/upstreams/EvidenceGossip.ts
@@ -7,6 +7,9 @@
 const MIN_DEVIATION_CHANGE = 0.7;
 const RESEND_INTERVAL_MS = 2_000;
 
+// The number of requests sent to an instance with a limit is sent again at this interval, so that a lost message does not leave it unknown.
+const LIMIT_RESEND_INTERVAL_MS = 500;
+
 interface ReportedEvidence {
   readonly evidence: instanceEvidence.InstanceEvidence;
   readonly atMs: number;
@@ -44,11 +47,14 @@
     if (
       last.evidence.inFlight !== evidence.inFlight
       || Math.abs(last.evidence.deviation - evidence.deviation) >= MIN_DEVIATION_CHANGE
+      || last.evidence.limit?.perSecond !== evidence.limit?.perSecond
+      || last.evidence.limit?.sent !== evidence.limit?.sent
     ) return true;
-    return EvidenceGossip.isRelevant(evidence) && nowMs - last.atMs >= RESEND_INTERVAL_MS;
+    const intervalMs = evidence.limit === undefined ? RESEND_INTERVAL_MS : LIMIT_RESEND_INTERVAL_MS;
+    return EvidenceGossip.isRelevant(evidence) && nowMs - last.atMs >= intervalMs;
   }
 
   private static isRelevant(evidence: instanceEvidence.InstanceEvidence): boolean {
-    return evidence.inFlight > 0 || evidence.deviation >= MIN_REPORTED_DEVIATION;
+    return evidence.inFlight > 0 || evidence.deviation >= MIN_REPORTED_DEVIATION || evidence.limit !== undefined;
   }
 }
--- a/packages/gateway/src/upstreams/PooledInstance.ts
+++ b/packages/gateway/src/upstreams/PooledInstance.ts
@@ -1,6 +1,7 @@
 import type * as attemptEnding from './AttemptEnding.js';
 import type * as durationSamples from './DurationSamples.js';
 import type * as instanceEvidence from './InstanceEvidence.js';
+import * as requestLimit from './RequestLimit.js';
 import * as grayFailureEstimator from './GrayFailureEstimator.js';
 import type * as instanceRecord from './InstanceRecord.js';
 import type * as instanceStatement from './InstanceStatement.js';
@@ -23,6 +24,9 @@
   readonly load: number;
 }
 
+// The other VMs are told of a limit for this time after a request of this VM, and of its end for this time.
+const LIMIT_EVIDENCE_LIFETIME_MS = 5_000;
+
 // Requests in flight are overdue if they have been without a response for longer than about half of the answers take.
 const MAX_OVERDUE_LOG_RATIO = 0.5;
 
@@ -40,6 +44,14 @@
 export class PooledInstance {
   private readonly inFlight = new Map<string, InFlightAttempt>();
 
+  private limit: requestLimit.RequestLimit | undefined;
+
+  // Time at which the attempt was sent whose answer contains the latest statement about a limit. Answers arrive in another order than that
+  // in which their requests were sent.
+  private limitStatedAtMs = -Infinity;
+
+  private limitEndedAtMs = -Infinity;
+
   private estimator: grayFailureEstimator.GrayFailureEstimator;
 
   // Requests of other VMs at the instance, according to its latest load report.
@@ -88,6 +100,10 @@
     if (previous.startedAtMs === record.startedAtMs && previous.host === record.host && previous.port === record.port) return;
     this.estimator = new grayFailureEstimator.GrayFailureEstimator(nowMs);
     this.otherVmsLoad = 0;
+    // Statements of the previous process do not bind the new one, also those that arrive later.
+    this.limit = undefined;
+    this.limitStatedAtMs = nowMs;
+    this.limitEndedAtMs = -Infinity;
   }
 
   /**
@@ -100,6 +116,7 @@
     this.inFlight.set(attemptId, { sentAtMs: nowMs, durations });
     this.evaluatedAtMs = -Infinity;
     this.lastUsedAtMs = nowMs;
+    this.limit?.recordSent(nowMs);
   }
 
   /**
@@ -114,6 +131,7 @@
     this.inFlight.delete(attemptId);
     this.evaluatedAtMs = -Infinity;
     if ((ending.type === 'answered' || ending.type === 'not-run') && ending.statement.load !== undefined) this.recordLoad(ending.statement.load, nowMs);
+    if (ending.type === 'answered' || ending.type === 'not-run') this.recordLimit(ending.statement.limit, attempt.sentAtMs, nowMs);
     const survival = attempt.durations.estimateSurvival(nowMs - attempt.sentAtMs);
     switch (ending.type) {
       case 'answered':
@@ -140,7 +158,12 @@
    * @param evidence - Evidence as received.
    * @param nowMs - Current time.
    */
-  recordPeerEvidence(peer: string, evidence: Pick<instanceEvidence.InstanceEvidence, 'deviation' | 'inFlight'>, nowMs: number): void {
+  recordPeerEvidence(
+    peer: string,
+    evidence: Pick<instanceEvidence.InstanceEvidence, 'deviation' | 'inFlight' | 'limit'>,
+    nowMs: number,
+  ): void {
+    if (evidence.limit !== undefined) this.recordPeerLimit(peer, evidence.limit, nowMs);
     this.estimator.recordPeerEvidence(peer, evidence.deviation, nowMs);
     this.evaluatedAtMs = -Infinity;
     if (evidence.inFlight > 0) {
@@ -157,6 +180,34 @@
     return this.estimator.computeDeviation(this.sumNoResponseLogRatios(nowMs), nowMs);
   }
 
+  /** Gets the limit that the instance states, in requests per second. Undefined if it states none. */
+  getLimit(): number | undefined {
+    return this.limit?.getPerSecond();
+  }
+
+  /**
+   * Builds what the other VMs need to know of the limit of the instance. Undefined if this VM has not sent it a request recently, or if it
+   * has stated no limit for some time.
+   * @param nowMs - Current time.
+   */
+  buildLimitEvidence(nowMs: number): instanceEvidence.LimitEvidence | undefined {
+    const idleMs = this.limit?.computeIdleMs(nowMs) ?? nowMs - this.limitEndedAtMs;
+    if (idleMs > LIMIT_EVIDENCE_LIFETIME_MS) return undefined;
+    return {
+      perSecond: this.limit?.getPerSecond(), ageMs: Math.round(nowMs - this.limitStatedAtMs), sent: this.limit?.countSent() ?? 0,
+    };
+  }
+
+  /**
+   * Whether the limit that the instance states permits a request of this VM now.
+   * @param vm - Name of this VM.
+   * @param activeVms - Names of the VMs that send requests, this one included.
+   * @param nowMs - Current time.
+   */
+  canAcceptRequest(vm: string, activeVms: readonly string[], nowMs: number): boolean {
+    return this.limit === undefined || this.limit.canSend(vm, activeVms, nowMs);
+  }
+
   /** Counts the attempts of this VM in flight. */
   countInFlight(): number {
     return this.inFlight.size;
@@ -233,6 +284,29 @@
     return sum;
   }
 
+  private recordLimit(stated: instanceStatement.StatedLimit, statedAtMs: number, nowMs: number): void {
+    if (stated.type === 'unreadable' || statedAtMs < this.limitStatedAtMs) return;
+    this.limitStatedAtMs = statedAtMs;
+    this.applyLimit(stated.type === 'stated' ? stated.perSecond : undefined, nowMs);
+  }
+
+  private recordPeerLimit(peer: string, evidence: instanceEvidence.LimitEvidence, nowMs: number): void {
+    const statedAtMs = nowMs - evidence.ageMs;
+    if (statedAtMs > this.limitStatedAtMs) {
+      this.limitStatedAtMs = statedAtMs;
+      this.applyLimit(evidence.perSecond, nowMs);
+    }
+    if (evidence.perSecond !== undefined) this.limit?.recordPeerSent(peer, evidence.sent, nowMs);
+  }
+
+  private applyLimit(perSecond: number | undefined, nowMs: number): void {
+    if (perSecond === undefined) {
+      if (this.limit !== undefined) this.limitEndedAtMs = nowMs;
+      this.limit = undefined;
+    } else if (this.limit === undefined) this.limit = new requestLimit.RequestLimit(this.record.id, perSecond, nowMs);
+    else this.limit.setPerSecond(perSecond, nowMs);
+  }
+
   private recordLoad(load: instanceStatement.ReportedLoad, nowMs: number): void {
     this.otherVmsLoad = Math.max(0, load.running + load.waiting - this.inFlight.size);
     this.loadReportedAtMs = nowMs;
--- a/packages/gateway/src/upstreams/ServicePool.ts
+++ b/packages/gateway/src/upstreams/ServicePool.ts
@@ -1,5 +1,6 @@
 import type * as core from '@tamarackferry/core';
 
+import type * as activeVms from '../vms/ActiveVms.js';
 import type * as route from '../contracts/Route.js';
 import * as exploringPlacement from './ExploringPlacement.js';
 import type * as instanceRecord from './InstanceRecord.js';
@@ -40,6 +41,9 @@
 const COVERAGE_SPAN_MS = 2_000;
 const COVERAGE_LIFETIME_MS = 50;
 
+// Age at which the sum of the limits of a service is computed again.
+const LIMIT_SUM_LIFETIME_MS = 50;
+
 /** Options of a `ServicePool`. */
 export interface ServicePoolOptions {
   readonly service: string;
@@ -48,13 +52,14 @@
   readonly random: core.randomness.RandomSource;
   /** Smallest share of the sound instances that must be used while many requests are not served. */
   readonly floorShare: number;
+  readonly activeVms: activeVms.ActiveVms;
 }
 
 /** Which instances of a service the VMs use, as far as this VM knows. */
 export interface PoolUse {
   /** Instances that accept new requests. */
   readonly ready: number;
-  /** Those of them without a recent failure. */
+  /** Those of them without a recent failure and without a limit. */
   readonly sound: number;
   /** Sound instances that a VM is known to have used recently. */
   readonly used: number;
@@ -62,6 +67,13 @@
   readonly required: number;
 }
 
+interface LimitSum {
+  readonly instances: number;
+  readonly slots: number;
+  readonly perSecond: number;
+  readonly atMs: number;
+}
+
 interface InstanceQuery {
   readonly kind: route.RequestKind;
   readonly tried: readonly string[];
@@ -79,6 +91,10 @@
 
   private slots = 0;
 
+  private limitSum: LimitSum = {
+    instances: 0, slots: 0, perSecond: 0, atMs: -Infinity,
+  };
+
   private coverage: 'sufficient' | 'insufficient' = 'sufficient';
 
   private coveredAtMs = -Infinity;
@@ -104,6 +120,7 @@
       if (existing === undefined) this.instances.set(record.id, new pooledInstance.PooledInstance(record, nowMs));
       else if (existing.getRecord() !== record) existing.update(record, nowMs);
     });
+    this.limitSum = { ...this.limitSum, atMs: -Infinity };
     this.ready = [...this.instances.values()].filter((instance) => instance.getRecord().state === 'ready');
     this.slots = this.ready.reduce((sum, instance) => sum + instance.getRecord().slots, 0);
   }
@@ -113,6 +130,36 @@
     return this.slots;
   }
 
+  /**
+   * Estimates the number of slots that may be used at the same time: those of an instance with a limit as far as the limit fills them.
+   * @param serviceMs - Typical time that a request occupies a slot, in milliseconds.
+   * @param nowMs - Current time.
+   */
+  estimateUsableSlots(serviceMs: number, nowMs: number): number {
+    const limited = this.sumLimits(nowMs);
+    return this.slots - limited.slots + Math.min(limited.slots, (limited.perSecond * serviceMs) / 1_000);
+  }
+
+  /**
+   * Counts the instances that state a limit.
+   * @param nowMs - Current time.
+   */
+  countLimited(nowMs: number): number {
+    return this.sumLimits(nowMs).instances;
+  }
+
+  private sumLimits(nowMs: number): LimitSum {
+    if (nowMs - this.limitSum.atMs < LIMIT_SUM_LIFETIME_MS) return this.limitSum;
+    const limited = this.ready.filter((instance) => instance.getLimit() !== undefined);
+    this.limitSum = {
+      instances: limited.length,
+      slots: limited.reduce((sum, instance) => sum + instance.getRecord().slots, 0),
+      perSecond: limited.reduce((sum, instance) => sum + instance.getLimit()!, 0),
+      atMs: nowMs,
+    };
+    return this.limitSum;
+  }
+
   /** Lists the instances. */
   listInstances(): readonly pooledInstance.PooledInstance[] {
     return [...this.instances.values()];
@@ -162,6 +209,8 @@
     const excluded = kind === 'non-idempotent' && urgency === 'normal' ? this.listExcluded(query, first, count) : [];
     let best: pooledInstance.PooledInstance | undefined;
     let bestCost = Infinity;
+    const vm = this.options.activeVms.getOwnName();
+    const activeNames = this.options.activeVms.listNames(nowMs);
     // Without intermediate arrays, since this runs for each request.
     for (let index = first; index < first + count; index += 1) {
       const instance = this.ready[index % this.ready.length]!;
@@ -170,7 +219,8 @@
       const maxQueued = urgency === 'critical' ? Math.max(MAX_QUEUED_AT_INSTANCE, record.slots * MAX_QUEUED_SLOT_SHARE) : MAX_QUEUED_AT_INSTANCE;
       // An instance has free capacity while the rounded number of requests at it is below its slots and the permitted queue together.
       const hasCapacity = usedShare <= 1 + (maxQueued - 0.5) / record.slots;
-      if (hasCapacity && !tried.includes(record.id) && !excluded.includes(instance)) {
+      const isAcceptable = hasCapacity && !tried.includes(record.id) && !excluded.includes(instance);
+      if (isAcceptable && instance.canAcceptRequest(vm, activeNames, nowMs)) {
         // The random part decides between instances of equal cost.
         const cost = policy.computeCost(this.buildCandidate(instance, nowMs), query.condition) + this.options.random.drawFraction() * 1e-4;
         if (cost < bestCost) {
@@ -196,7 +246,9 @@
    * @param nowMs - Current time.
    */
   summarizeUse(nowMs: number): PoolUse {
-    const sound = this.ready.filter((instance) => instance.computeFailureAgeMs(nowMs) >= COVERAGE_SPAN_MS);
+    // An instance with a limit gets what it accepts, however poorly the service is served.
+    const sound = this.ready
+      .filter((instance) => instance.getLimit() === undefined && instance.computeFailureAgeMs(nowMs) >= COVERAGE_SPAN_MS);
     return {
       ready: this.ready.length,
       sound: sound.length,
--- a/packages/gateway/src/upstreams/index.ts
+++ b/packages/gateway/src/upstreams/index.ts
@@ -9,4 +9,5 @@
 export * from './PlacementPolicy.js';
 export * from './PooledInstance.js';
 export * from './ProvenPlacement.js';
+export * from './RequestLimit.js';
 export * from './ServicePool.js';
--- a/packages/gateway/src/vms/FleetView.ts
+++ b/packages/gateway/src/vms/FleetView.ts
@@ -25,6 +25,10 @@
 // places are considered reachable for the same time.
 const CONTACT_LIFETIME_MS = 10_000;
 
+// Callers still use a VM for this time after it ceased to be a front: they keep an answer of the directory up to three times as long as it
+// is valid.
+const FORMER_FRONT_SPAN_MS = 5_000;
+
 // Digests of other VMs in a heartbeat, which take turns, and in the reply to a VM that requested one. In a large place there are more, so
 // that each reserve is mentioned well before it counts as unreachable.
 const MIN_HEARTBEAT_DIGESTS = 4;
@@ -65,6 +69,9 @@
   // Hosts of the fronts of the other places.
   private otherFronts: readonly string[] = [];
 
+  // Times at which hosts of all places ceased to be fronts.
+  private readonly formerFronts = new Map<string, number>();
+
   /** @param options - This VM, number of fronts and random source. */
   constructor(private readonly options: FleetViewOptions) {}
 
@@ -86,6 +93,14 @@
     return this.otherFronts;
   }
 
+  /**
+   * Lists the hosts that recently were fronts, of all places. Callers may still send requests to them.
+   * @param nowMs - Current time.
+   */
+  listFormerFronts(nowMs: number): string[] {
+    return [...this.formerFronts].filter(([, atMs]) => nowMs - atMs <= FORMER_FRONT_SPAN_MS).map(([host]) => host);
+  }
+
   /** Gets the hosts of the fronts and standbys of the place. */
   getClosest(): readonly string[] {
     return [...this.fronts, ...this.standbys];
@@ -135,11 +150,17 @@
    */
   updateRanks(state: vmHeartbeat.VmState, nowMs: number): void {
     const { self, frontsPerPlace } = this.options;
+    const previous = [...this.fronts, ...this.otherFronts];
     const ranked = this.rankPlace(self.place, state, nowMs);
     this.fronts = ranked.slice(0, frontsPerPlace);
     this.standbys = ranked.slice(frontsPerPlace, frontsPerPlace + STANDBYS);
     const places = new Set([...this.vms.values()].filter((vm) => !this.isOfPlace(vm)).map((vm) => vm.getLastReport().place));
     this.otherFronts = [...places].flatMap((place) => this.rankPlace(place, state, nowMs).slice(0, frontsPerPlace));
+    const current = [...this.fronts, ...this.otherFronts];
+    previous.filter((host) => !current.includes(host)).forEach((host) => this.formerFronts.set(host, nowMs));
+    this.formerFronts.forEach((atMs, host) => {
+      if (current.includes(host) || nowMs - atMs > FORMER_FRONT_SPAN_MS) this.formerFronts.delete(host);
+    });
   }
 
   /**
--- a/packages/gateway/src/vms/MembershipTask.ts
+++ b/packages/gateway/src/vms/MembershipTask.ts
@@ -257,11 +257,13 @@
     this.options.catalog.post({ type: 'role-chosen', role });
   }
 
-  // Evidence is sent to the fronts only, since they route nearly all requests.
+  // Evidence is sent to the fronts only, since they route nearly all requests. Limits of instances hold for all VMs together, so that VMs
+  // which callers may still use need them as well.
   private sendEvidence(rows: readonly instanceEvidence.InstanceEvidence[]): void {
     const nowMs = this.options.timers.getNowMs();
     this.sendRows(this.fleet.getFronts(), rows);
     this.sendRows(this.fleet.getOtherFronts(), this.batch.add(rows, nowMs));
+    this.sendRows(this.fleet.listFormerFronts(nowMs), rows.filter((row) => row.limit !== undefined));
     if (!this.isStarting(nowMs)) return;
     const informed = [...this.fleet.getFronts(), ...this.fleet.getOtherFronts()];
     const hosts = this.fleet.listReachable(nowMs).map((vm) => vm.getLastReport().host).filter((host) => !informed.includes(host));
--- a/packages/gateway/src/vms/index.ts
+++ b/packages/gateway/src/vms/index.ts
@@ -1,3 +1,4 @@
+export * from './ActiveVms.js';
 export * from './EvidenceBatch.js';
 export * from './FleetView.js';
 export * from './FrontChoice.js';
--- a/packages/gateway/test/LoadReplay.ts
+++ b/packages/gateway/test/LoadReplay.ts
@@ -169,6 +169,7 @@
       timers: this.timers,
       random: new core.randomness.SeededRandomSource(vm + 1),
       outbox: { post: (output) => this.handleOutput(vm, output) },
+      vm: String(vm),
       place,
       budget: { ratio: 0.16, slack: RETRY_SLACK_PER_VM, windowMs: 10_000 },
       floorShare: 0.7,
--- a/packages/gateway/test/TestGateway.ts
+++ b/packages/gateway/test/TestGateway.ts
@@ -28,6 +28,7 @@
       timers: this.timers,
       random: new core.randomness.SeededRandomSource(1),
       outbox: { post: (output) => this.outputs.push(output) },
+      vm: 'vm1',
       place: 'p1',
       budget: { ratio: 0.2, slack: retrySlack, windowMs: 10_000 },
       floorShare: 0.7,
--- a/packages/gateway/test/callers/RoutedRequestTask.test.ts
+++ b/packages/gateway/test/callers/RoutedRequestTask.test.ts
@@ -345,4 +345,39 @@
     tested.timers.advanceTo(IDEMPOTENT.objectiveMs);
     vitest.expect(tested.findOutcome(ids[0]!)).toMatchObject({ type: 'answer', answer: { status: 500 } });
   });
+
+  vitest.it('keeps to a limit that an instance states, logs it, and refuses at once what the limits leave no room for', () => {
+    const tested = new testGateway.TestGateway([testRoute.buildRoute()], [testRoute.buildInstance('i1', { slots: 4 })]);
+    tested.sendRequest();
+    tested.endAttempt('1', testGateway.TestGateway.buildAnswer(200, { limit: { type: 'stated', perSecond: 0.5 } }));
+    const listEvents = (event: string): gateway.callers.LogFields[] => (
+      tested.outputs.flatMap((output) => (output.type === 'log' && output.event === event ? [output.fields] : []))
+    );
+    vitest.expect(listEvents('limit-changed')).toEqual([{
+      instance: 'i1', service: 's1', perSecond: 0.5, previousPerSecond: undefined, source: 'answer',
+    }]);
+    const requests = Array.from({ length: 10 }, () => tested.sendRequest());
+    vitest.expect(tested.listAttempts()).toHaveLength(1);
+    vitest.expect(requests.filter((id) => tested.findOutcome(id)?.type === 'refuse').length).toBeGreaterThanOrEqual(8);
+    vitest.expect(listEvents('request-refused')[0]).toMatchObject({ reason: 'overloaded', limited: 1 });
+  });
+
+  vitest.it('tells the other VMs of a limit at once', () => {
+    const tested = new testGateway.TestGateway([testRoute.buildRoute()], [testRoute.buildInstance('i1')]);
+    tested.sendRequest();
+    tested.endAttempt('1', testGateway.TestGateway.buildAnswer(200, { limit: { type: 'stated', perSecond: 2 } }));
+    const rows = tested.outputs.flatMap((output) => (output.type === 'evidence-found' ? output.rows : []));
+    vitest.expect(rows).toEqual([vitest.expect.objectContaining({ instance: 'i1', limit: { perSecond: 2, ageMs: 0, sent: 0 } })]);
+  });
+
+  vitest.it('ignores and logs a limit that cannot be read', () => {
+    const tested = new testGateway.TestGateway([testRoute.buildRoute()], [testRoute.buildInstance('i1', { slots: 4 })]);
+    tested.sendRequest();
+    tested.endAttempt('1', testGateway.TestGateway.buildAnswer(200, { limit: { type: 'unreadable', text: 'few' } }));
+    tested.sendRequest();
+    vitest.expect(tested.listAttempts()).toHaveLength(2);
+    vitest.expect(tested.outputs).toContainEqual({
+      type: 'log', event: 'statement-unreadable', fields: { instance: 'i1', service: 's1', detail: 'few' },
+    });
+  });
 });
--- a/packages/gateway/test/vms/MembershipTask.test.ts
+++ b/packages/gateway/test/vms/MembershipTask.test.ts
@@ -11,6 +11,9 @@
   /** Number of datagrams that each VM has sent, by its name. */
   readonly sent = new Map<string, number>();
 
+  /** Hosts and rows of the evidence that was sent. */
+  readonly evidence: { readonly hosts: readonly string[]; readonly rows: readonly gateway.upstreams.InstanceEvidence[] }[] = [];
+
   private readonly tasks = new Map<string, gateway.vms.MembershipTask>();
 
   /**
@@ -32,6 +35,15 @@
     return [...answers[0]!.hosts].sort();
   }
 
+  /**
+   * Lets a VM send evidence.
+   * @param name - Name of the VM.
+   * @param rows - Evidence.
+   */
+  sendEvidence(name: string, rows: readonly gateway.upstreams.InstanceEvidence[]): void {
+    this.tasks.get(name)!.post({ type: 'evidence-found', rows, outcomes: [] });
+  }
+
   /**
    * Stops a VM gracefully, as a stop signal does.
    * @param name - Name of the VM.
@@ -56,6 +68,7 @@
       random: new core.randomness.SeededRandomSource(name.length),
       outbox: {
         post: (output) => {
+          if (output.type === 'send-evidence') this.evidence.push({ hosts: output.hosts, rows: output.notice.rows });
           if (output.type !== 'send-heartbeat' || this.down.has(name)) return;
           this.sent.set(name, (this.sent.get(name) ?? 0) + output.hosts.length);
           output.hosts.filter((host) => !this.down.has(host))
@@ -108,6 +121,26 @@
     ['a-1', 'a-2', 'a-3', 'a-4'].forEach((name) => vitest.expect(vms.listFronts(name, 'a')).not.toContain(stopped));
   });
 
+  vitest.it('tells a VM that is being stopped of the limits of instances, since callers may still use it', () => {
+    const vms = new TestVmGroup(NAMES);
+    vms.timers.advanceTo(8_000);
+    const [stopped, other] = vms.listFronts('a-1', 'a');
+    vms.stopVm(stopped!);
+    vms.timers.advanceTo(8_500);
+    const row = {
+      instance: 'i1', service: 's1', deviation: 0, inFlight: 1,
+    };
+    const limited = { ...row, instance: 'i2', limit: { perSecond: 2, ageMs: 10, sent: 3 } };
+    const listRows = (): readonly gateway.upstreams.InstanceEvidence[] => (
+      vms.evidence.splice(0).filter(({ hosts }) => hosts.includes(stopped!)).flatMap(({ rows }) => rows)
+    );
+    vms.sendEvidence(other!, [row, limited]);
+    vitest.expect(listRows()).toEqual([limited]);
+    vms.timers.advanceTo(16_000);
+    vms.sendEvidence(other!, [row, limited]);
+    vitest.expect(listRows()).toEqual([]);
+  });
+
   vitest.it('does not let the number of heartbeats sent by a reserve grow with the size of its place', () => {
     const countSent = (size: number): number => {
       const vms = new TestVmGroup(Array.from({ length: size }, (_, index) => `a-${index}`));
--- a/packages/proof/src/bench/GatewayBench.ts
+++ b/packages/proof/src/bench/GatewayBench.ts
@@ -55,6 +55,7 @@
           timers.subscribe({ mailbox: task, message, delayMs: WORK_MS });
         },
       },
+      vm: 'vm0',
       place: 'p0',
       budget: { ratio: 0.2, slack: 10, windowMs: 10_000 },
       floorShare: 0.7,
