Refuse a request at once that would wait too long under the limits of instances

No instance can queue a request beyond its limit, so that the wait is known to be in vain when the estimate is longer than the time until the request is critical.

--- a/packages/gateway/src/callers/UrgencyPolicy.ts
+++ b/packages/gateway/src/callers/UrgencyPolicy.ts
@@ -20,4 +20,13 @@
     if (waitedShare < MAX_NORMAL_SHARE) return 'normal';
     return waitedShare < MAX_URGENT_SHARE ? 'urgent' : 'critical';
   }
+
+  /**
+   * Computes the time until a waiting request is critical, in milliseconds.
+   * @param waitedMs - Time since its arrival, in milliseconds.
+   * @param objectiveMs - Latency objective of its route, in milliseconds.
+   */
+  static computeMsUntilCritical(waitedMs: number, objectiveMs: number): number {
+    return MAX_URGENT_SHARE * objectiveMs - waitedMs;
+  }
 }
--- a/packages/gateway/src/callers/WaitingPolicy.ts
+++ b/packages/gateway/src/callers/WaitingPolicy.ts
@@ -79,7 +79,16 @@
     nowMs: number,
   ): 'wait' | 'refuse' {
     if (WaitingPolicy.computeUrgency(request, nowMs) === 'critical') return 'refuse';
-    return this.admission.decide(WaitingPolicy.buildLoad(request, serviceEntry, requestsAhead, nowMs), request.computeRemainingMs(nowMs));
+    const load = WaitingPolicy.buildLoad(request, serviceEntry, requestsAhead, nowMs);
+    // Limits bind even a critical request, so that one which would still wait by then is refused now.
+    const isLimited = serviceEntry.pool.countLimited(nowMs) > 0;
+    if (isLimited && this.admission.estimateWaitMs(load) > WaitingPolicy.computeMsUntilCritical(request, nowMs)) return 'refuse';
+    return this.admission.decide(load, request.computeRemainingMs(nowMs));
+  }
+
+  private static computeMsUntilCritical(request: routedRequest.RoutedRequest, nowMs: number): number {
+    const { arrival, route } = request.options;
+    return urgencyPolicy.UrgencyPolicy.computeMsUntilCritical(nowMs - arrival.arrivedAtMs, route.objectiveMs);
   }
 
   /**
--- a/packages/gateway/test/LoadReplay.test.ts
+++ b/packages/gateway/test/LoadReplay.test.ts
@@ -29,6 +29,10 @@
 // Smallest share of the healthy instances that must receive requests.
 const MIN_USED_SHARE = 0.7;
 
+// Share of the stated limits that is used while there are more requests, and share of the refused requests that are refused early.
+const MIN_LIMIT_USE = 0.8;
+const MIN_REFUSED_EARLY = 0.7;
+
 function replayPattern(pattern: loadPattern.LoadPattern, seed: number): loadReplay.LoadReplay {
   const replay = new loadReplay.LoadReplay(pattern, seed);
   replay.run();
@@ -92,6 +96,16 @@
     SEEDS.forEach((seed) => vitest.expect(replayPattern(pattern, seed).computeLimitExcess()).toBeLessThanOrEqual(0));
   });
 
+  vitest.it('uses what the limits permit, and refuses most of the other requests early', () => {
+    SEEDS.forEach((seed) => {
+      const replay = replayPattern(loadPatterns.TIGHTLY_LIMITED, seed);
+      const results = [...replay.results.values()];
+      const refused = results.reduce((sum, result) => sum + result.refused, 0);
+      vitest.expect(replay.computeLimitUse()).toBeGreaterThanOrEqual(MIN_LIMIT_USE);
+      vitest.expect(results.reduce((sum, result) => sum + result.refusedEarly, 0)).toBeGreaterThanOrEqual(refused * MIN_REFUSED_EARLY);
+    });
+  });
+
   vitest.it.each([
     ['overload', loadPatterns.OVERLOAD], MOSTLY_GRAY,
   ] as const)('achieves more benefit if the VMs send each other their numbers of requests in flight (%s)', (_, pattern) => {
--- a/packages/gateway/test/LoadReplay.ts
+++ b/packages/gateway/test/LoadReplay.ts
@@ -39,6 +39,8 @@
   failed: number;
   /** Requests that waited for more than half of the latency objective and were then refused without an attempt. */
   refusedAfterHold: number;
+  /** Requests that were refused before an eighth of the latency objective was over. */
+  refusedEarly: number;
 }
 
 interface SentAttempt {
@@ -95,7 +97,7 @@
   constructor(private readonly pattern: loadPattern.LoadPattern, seed: number, private readonly loadGossip: 'enabled' | 'disabled' = 'enabled') {
     this.arrivalRandom = new core.randomness.SeededRandomSource(seed);
     pattern.routes.forEach((route) => this.results.set(route.name, {
-      requests: 0, onTime: 0, late: 0, refused: 0, failed: 0, refusedAfterHold: 0,
+      requests: 0, onTime: 0, late: 0, refused: 0, failed: 0, refusedAfterHold: 0, refusedEarly: 0,
     }));
     this.startInstances(seed);
     PLACES.flatMap((place) => Array.from({ length: pattern.vmsPerPlace }, () => place)).forEach((place, vm) => this.startVm(place, vm));
@@ -330,6 +332,7 @@
     } else if (output.type === 'refuse' && output.reason !== 'timed-out' && output.reason !== 'unknown') {
       result.refused += 1;
       if (arrival.sent === 0 && elapsedMs > route.objectiveMs / 2) result.refusedAfterHold += 1;
+      if (elapsedMs <= route.objectiveMs / 8) result.refusedEarly += 1;
     } else result.failed += 1;
   }
 
