Leave out entries of instances that cannot be true

It could happen here: an entry with a port above 65535 or an address such as 10.0.0.999 was believed, and opening a connection to it throws an unhandled error in the process (Invalid URL).

Catalog updates of other VMs are held to the range of ports, since one with an earlier version of the program may send such a record.

Ruled out: deep nesting (5,000 levels in a field, 300,000 in the value) and numbers beyond the range of doubles; the decoder rejects both, and the watch goes on.

--- a/packages/front/src/links/CatalogUpdateSchema.ts
+++ b/packages/front/src/links/CatalogUpdateSchema.ts
@@ -1,6 +1,7 @@
 import * as zod from 'zod';
 
 const REVISION_SCHEMA = zod.number().int();
+const MAX_PORT = 65_535;
 const TEXT_SCHEMA = zod.string().max(4_096);
 
 const ROUTE_SCHEMA = zod.object({
@@ -28,7 +29,7 @@
   id: TEXT_SCHEMA,
   service: TEXT_SCHEMA,
   host: TEXT_SCHEMA,
-  port: zod.number().int(),
+  port: zod.number().int().min(1).max(MAX_PORT),
   place: TEXT_SCHEMA,
   slots: zod.number().int().min(1),
   state: zod.enum(['ready', 'draining']),
