Test answers that end within their head, and requests that come late in a stop

Neither can happen here: an answer that ends within its head, in eight places, on a fresh and on a kept connection, is never a success; of a request every 0.1 s of a planned stop, those that come after 3 s are passed on only if their whole time fits before the end, and all have an outcome.

--- a/packages/front/test/upstreams/RoutedConnections.test.ts
+++ b/packages/front/test/upstreams/RoutedConnections.test.ts
@@ -283,4 +283,24 @@
     vitest.expect(await tested.sendAttempt(port, 'q1')).toMatchObject({ type: 'answered', statement: { limit: { type: 'stated', perSecond: 2.6 } } });
     vitest.expect(await tested.sendAttempt(port, 'q2')).toEqual({ type: 'broken' });
   });
+
+  // At other operators, callers got such an answer as a success with an empty body.
+  vitest.it.each(['fresh', 'kept'].flatMap((connection) => [
+    ['the status line', 'HTTP/1.1 200 O'],
+    ['the status line with its end', 'HTTP/1.1 200 OK\r\n'],
+    ['a header name', 'HTTP/1.1 200 OK\r\nrequest-id: q1\r\nseal: 1\r\nconte'],
+    ['a header value', 'HTTP/1.1 200 OK\r\nrequest-id: q1\r\nseal: 1\r\ncontent-length: 1'],
+    ['the last header', 'HTTP/1.1 200 OK\r\nrequest-id: q1\r\nseal: 1\r\n'],
+    ['the last header, with the length 0', 'HTTP/1.1 200 OK\r\nrequest-id: q1\r\nseal: 1\r\ncontent-length: 0\r\n'],
+    ['the empty line', 'HTTP/1.1 200 OK\r\nrequest-id: q1\r\nseal: 1\r\nconnection: close\r\n\r'],
+    ['a head after an interim response', 'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nrequest-id: q1\r\nseal: 1\r\n'],
+  ].map(([place, text]) => [connection, place!, text!] as const)))('takes an answer that ends within its head for broken (%s connection, in %s)', async (connection, _, text) => {
+    const port = await startInstance((socket, requestId) => {
+      if (requestId === 'q0') socket.write(rawInstance.RawInstance.buildResponse('q0', 'ok'));
+      else socket.end(text);
+    });
+    if (connection === 'kept') vitest.expect((await tested.sendAttempt(port, 'q0')).type).toBe('answered');
+    vitest.expect(['reset', 'broken']).toContain((await tested.sendAttempt(port, 'q1')).type);
+    vitest.expect(instance!.connections).toBe(1);
+  });
 });
--- a/packages/gateway/test/callers/RoutedRequestTask.test.ts
+++ b/packages/gateway/test/callers/RoutedRequestTask.test.ts
@@ -380,4 +380,22 @@
       type: 'log', event: 'statement-unreadable', fields: { instance: 'i1', service: 's1', detail: 'few' },
     });
   });
+
+  // At other operators, requests that came late in the grace period were passed on and cut at its end.
+  vitest.it('gives every request that it passes on during a stop its whole time, unless it came early in the stop', () => {
+    const tested = new testGateway.TestGateway([testRoute.buildRoute()], [testRoute.buildInstance('i1', { slots: 1_000 })]);
+    const [openUntilMs, endsAtMs, deadlineMs] = [3_000, 5_340, 2_000];
+    tested.task.post({ type: 'stopping', acceptsUntilMs: openUntilMs, endsAtMs });
+    const sentAtMs = new Map(Array.from({ length: 53 }, (_, index) => {
+      tested.timers.advanceTo(index * 100);
+      return [tested.sendRequest('/x/1', deadlineMs), index * 100] as const;
+    }));
+    tested.timers.advanceTo(endsAtMs);
+    const passedOn = new Set(tested.listAttempts().map((attempt) => attempt.arrival.requestId));
+    const late = [...sentAtMs].filter(([id, atMs]) => passedOn.has(id) && atMs > openUntilMs);
+    vitest.expect(late.length).toBeGreaterThan(0);
+    late.forEach(([, atMs]) => vitest.expect(atMs + deadlineMs).toBeLessThanOrEqual(endsAtMs));
+    // Nothing is left without an outcome when the process ends.
+    sentAtMs.forEach((_, id) => vitest.expect(tested.findOutcome(id)).toBeDefined());
+  });
 });
