Explain a refusal under the limits of instances

The line of the refusal has the number of such instances; explain reports the cause limited-instances.

The new case of ExplainCommand fails without the rule.

--- a/packages/operator/src/logs/CauseRule.ts
+++ b/packages/operator/src/logs/CauseRule.ts
@@ -3,7 +3,7 @@
 /** Name of the probable cause of the outcome of a request. Printed by the `explain` command. */
 export type CauseName =
   | 'silent-instance' | 'slow-instance' | 'failing-instance' | 'broken-connection' | 'unreachable-instance' | 'shedding-instances'
-  | 'full-service' | 'no-instance' | 'no-route' | 'starting-vm' | 'stopping-vm' | 'memory' | 'caller-left' | 'unknown';
+  | 'limited-instances' | 'full-service' | 'no-instance' | 'no-route' | 'starting-vm' | 'stopping-vm' | 'memory' | 'caller-left' | 'unknown';
 
 /** Probable cause of the outcome of a request. */
 export interface Cause {
--- a/packages/operator/test/commands/ExplainCommand.test.ts
+++ b/packages/operator/test/commands/ExplainCommand.test.ts
@@ -53,6 +53,9 @@
     ['unreachable-instance', [buildAttempt('unsent'), buildRefusal('overloaded')]],
     ['shedding-instances', [buildAttempt('not-run'), buildRefusal('overloaded')]],
     ['full-service', [buildRefusal('overloaded', 0)]],
+    ['limited-instances', [buildLine(1_000, 'request-refused', {
+      id: 'q1', elapsedMs: 20, reason: 'overloaded', attempts: 0, waiting: 3, slots: 2.4, limited: 5, serviceMs: 200,
+    })]],
     ['no-instance', [buildRefusal('no-instance', 0)]],
     ['no-route', [buildRefusal('no-route', 0)]],
     ['starting-vm', [buildRefusal('no-configuration', 0)]],
