--- a/packages/operator/src/logs/OverloadCauseRule.ts
+++ b/packages/operator/src/logs/OverloadCauseRule.ts
@@ -1,7 +1,7 @@
 import * as causeRule from './CauseRule.js';
 import type * as requestHistory from './RequestHistory.js';
 
-/** Recognizes requests that no instance accepted: instances rejected them, were unreachable or stated limits, or had no free slot in time. */
+/** Recognizes requests that no instance accepted: instances rejected them, were unreachable, stated limits or had no free slot in time. */
 export class OverloadCauseRule extends causeRule.CauseRule {
   override findCause(log: requestHistory.RequestHistory): causeRule.Cause | undefined {
     if (log.getReason() !== 'overloaded' && log.getReason() !== 'too-late') return undefined;
