--- a/packages/gateway/test/LoadReplay.test.ts
+++ b/packages/gateway/test/LoadReplay.test.ts
@@ -90,6 +90,11 @@
     shares.forEach((share) => vitest.expect(share).toBeGreaterThanOrEqual(MIN_USED_SHARE));
   });
 
+  vitest.it('gives requests to most of the sound instances of a small service that is suddenly served poorly', () => {
+    const shares = SEEDS.map((seed) => replayPattern(loadPatterns.MODERATE, seed).minUsedShareWhilePoor);
+    shares.filter((share) => share !== undefined).forEach((share) => vitest.expect(share).toBeGreaterThanOrEqual(MIN_USED_SHARE));
+  });
+
   vitest.it.each([
     ['most instances', loadPatterns.LIMITED], ['all instances, tightly', loadPatterns.TIGHTLY_LIMITED],
   ] as const)('sends an instance no more requests than the limit that it states, over all VMs (%s)', (_, pattern) => {
