--- a/packages/gateway/src/callers/ServiceConditionLog.ts
+++ b/packages/gateway/src/callers/ServiceConditionLog.ts
@@ -8,7 +8,8 @@
 const LOGGED_UNSERVED_SHARE = 0.1;
 const MIN_REQUESTS = 10;
 
-const REPEAT_INTERVAL_MS = 1_000;
+// At most one line for each service in this time.
+const LOG_INTERVAL_MS = 1_000;
 
 interface LoggedCondition {
   readonly condition: 'good' | 'poor';
@@ -23,7 +24,7 @@
   constructor(private readonly outbox: core.tasks.Mailbox<gatewayOutput.GatewayOutput>) {}
 
   /**
-   * Logs the condition of a service when it changes, and once a second while it is poor.
+   * Logs the condition of a service when it has changed, and once a second while it is poor.
    * @param service - Name of the service.
    * @param serviceEntry - State of the service.
    * @param evidenceAgeMs - Time since the latest evidence of another VM; undefined if there was none.
@@ -33,7 +34,9 @@
     const { requests, unserved } = serviceEntry.outcomes.summarizeAll(nowMs);
     const condition = requests >= MIN_REQUESTS && unserved > requests * LOGGED_UNSERVED_SHARE ? 'poor' as const : 'good' as const;
     const last = this.logged.get(service);
-    if (condition === (last?.condition ?? 'good') && (condition === 'good' || nowMs - last!.atMs < REPEAT_INTERVAL_MS)) return;
+    if (condition === 'good' && (last?.condition ?? 'good') === 'good') return;
+    // A share close to the bound crosses it several times a second.
+    if (last !== undefined && nowMs - last.atMs < LOG_INTERVAL_MS) return;
     this.logged.set(service, { condition, atMs: nowMs });
     const {
       ready, sound, used, required,
--- a/packages/gateway/src/callers/ServiceTable.ts
+++ b/packages/gateway/src/callers/ServiceTable.ts
@@ -15,6 +15,9 @@
 const MAX_EARLY_AGE_MS = 2_000;
 const MAX_EARLY_NOTICES = 500;
 
+// Services whose outcomes are sent at a time, so that a message stays small however many services there are.
+const MAX_REPORTED_SERVICES = 64;
+
 interface EarlyNotice {
   readonly from: string;
   readonly rows: readonly instanceEvidence.InstanceEvidence[];
@@ -150,13 +153,16 @@
   }
 
   /**
-   * Lists the outcomes of the recent requests of this VM, of the services that had any.
+   * Lists the outcomes of the recent requests of this VM, of the services that had any. If there are too many, those with the most requests
+   * that were not served come first.
    * @param nowMs - Current time.
    */
   listOutcomes(nowMs: number): serviceOutcomes.ServiceOutcome[] {
     return [...this.entries]
       .map(([service, entry]) => ({ service, ...entry.outcomes.summarize(nowMs) }))
-      .filter(({ requests }) => requests > 0);
+      .filter(({ requests }) => requests > 0)
+      .sort((left, right) => right.unserved - left.unserved)
+      .slice(0, MAX_REPORTED_SERVICES);
   }
 
   private applyRows(from: string, rows: readonly instanceEvidence.InstanceEvidence[], nowMs: number): void {
--- a/packages/gateway/src/upstreams/RequestLimit.ts
+++ b/packages/gateway/src/upstreams/RequestLimit.ts
@@ -10,7 +10,8 @@
 // Requests that all VMs together may send before they know of each other's: the limit of one second and this number.
 const UNKNOWN_SLACK = 4;
 
-// Unused rate is kept for this time, overuse is made up for within this time.
+// Requests that were not sent may be sent later, up to the limit of the first time. Excess requests are made up for, up to the limit of the
+// second.
 const MAX_SAVED_S = 1;
 const MAX_DEBT_S = 4;
 
@@ -40,8 +41,8 @@
   // Numbers of requests that the other VMs reported.
   private readonly peers = new Map<string, PeerCount>();
 
-  // VMs for which the latest choice of users was made.
-  private ranked: { readonly key: string; readonly own: 'user' | 'other' } | undefined;
+  // Whether this VM is one of those that use the instance, and the VMs for which that was determined.
+  private ranked: { readonly key: string; readonly own: 'user' | 'none' } | undefined;
 
   /**
    * @param instance - Id of the instance.
@@ -130,7 +131,7 @@
     const key = `${users} ${activeVms.join(' ')}`;
     if (this.ranked?.key !== key) {
       const ranked = core.places.RendezvousHash.rankItems(this.instance, activeVms, (name) => name);
-      this.ranked = { key, own: ranked.indexOf(vm) < users ? 'user' : 'other' };
+      this.ranked = { key, own: ranked.indexOf(vm) < users ? 'user' : 'none' };
     }
     return this.ranked.own === 'user';
   }
