--- a/review/harness/FrontMachine.js
+++ b/review/harness/FrontMachine.js
@@ -56,8 +56,12 @@
     this.child.kill(signal);
   }
 
+  hasEnded() {
+    return this.child.exitCode !== null || this.child.signalCode !== null;
+  }
+
   async kill() {
-    if (this.child.exitCode !== null || this.child.signalCode !== null) return;
+    if (this.hasEnded()) return;
     this.child.kill('SIGKILL');
     await this.exited;
   }
