--- a/review/harness/Client.js
+++ b/review/harness/Client.js
@@ -3,6 +3,9 @@
 
 import * as clock from './clock.js';
 
+// Error of a request whose client left before the answer.
+export const GAVE_UP = 'the client gave up';
+
 /** Client of the system. Each request has its own id and, unless an agent is given, its own connection. */
 export class Client {
   constructor(record) {
@@ -24,7 +27,10 @@
         response.on('end', () => resolve({ status: response.statusCode, headers: response.headers, body: buffer.Buffer.concat(chunks).toString('latin1') }));
       });
       sent.on('error', (error) => resolve({ status: 0, error: error.code }));
-      sent.on('timeout', () => sent.destroy());
+      sent.on('timeout', () => {
+        resolve({ status: 0, error: GAVE_UP });
+        sent.destroy();
+      });
       sent.end(body);
     });
   }
