Drop instances that left behind silent connections to the store

Cause: a VM took any 3 s without a confirmation for an outage of the store and kept all missing instances for 2.2 s more, also those that were removed meanwhile. Silent connections leave the same gap, but nothing expires in it. Besides, pause (0.4 s), wait (2 s) and time-out (0.9 s) of a watch are together longer than the stable window of 3 s.

Ruled out: fetches between VMs, since both VMs read the store; kept connections between VMs can go silent in the same way, and are closed when idle now.

Change: an outage needs a read that failed over a new connection and no other VM in contact with the store meanwhile; what was removed after the return of the store is dropped by revision; the wait of a watch follows from the stable window; the first call after a failure does not wait; fronts tell those of other places at once.

--- a/packages/front/src/links/CatalogUpdateClient.ts
+++ b/packages/front/src/links/CatalogUpdateClient.ts
@@ -9,7 +9,8 @@
 // Short enough that the update can be requested from another VM after a time-out and a change still takes effect in time.
 const REQUEST_TIMEOUT_MS = 600;
 const CONNECT_TIMEOUT_MS = 500;
-const IDLE_TIMEOUT_MS = 9_000;
+// A connection that was idle may have gone silent; one that was used shortly before serves changes in quick succession.
+const IDLE_TIMEOUT_MS = 300;
 
 /** Message to the `CatalogUpdateClient`. */
 export type CatalogUpdateClientMessage = Extract<gateway.contracts.CatalogOutput, { type: 'fetch-update' }>;
--- a/packages/front/src/links/CatalogUpdateSchema.ts
+++ b/packages/front/src/links/CatalogUpdateSchema.ts
@@ -1,5 +1,7 @@
 import * as zod from 'zod';
 
+import * as storeReportSchema from './StoreReportSchema.js';
+
 const REVISION_SCHEMA = zod.number().int();
 const MAX_PORT = 65_535;
 const TEXT_SCHEMA = zod.string().max(4_096);
@@ -49,11 +51,16 @@
 /** Format of a catalog update between VMs: the changes since a revision, or a complete snapshot. */
 export const CATALOG_UPDATE_SCHEMA = zod.discriminatedUnion('type', [
   zod.object({
-    type: zod.literal('changes'), revision: REVISION_SCHEMA, confirmedAgeMs: zod.number(), changes: zod.array(CHANGE_SCHEMA),
+    type: zod.literal('changes'),
+    revision: REVISION_SCHEMA,
+    confirmedAgeMs: zod.number(),
+    store: storeReportSchema.STORE_REPORT_SCHEMA,
+    changes: zod.array(CHANGE_SCHEMA),
   }),
   zod.object({
     type: zod.literal('snapshot'),
     confirmedAgeMs: zod.number(),
+    store: storeReportSchema.STORE_REPORT_SCHEMA,
     snapshot: zod.object({ revision: REVISION_SCHEMA, changes: zod.array(CHANGE_SCHEMA) }),
   }),
 ]);
--- a/packages/front/src/links/HeartbeatSchema.ts
+++ b/packages/front/src/links/HeartbeatSchema.ts
@@ -1,5 +1,7 @@
 import * as zod from 'zod';
 
+import * as storeReportSchema from './StoreReportSchema.js';
+
 const STATE_SCHEMA = zod.enum(['starting', 'ready', 'slow', 'leaving']);
 const NAME_SCHEMA = zod.string().min(1).max(200);
 const MAX_MENTIONS = 100;
@@ -17,6 +19,7 @@
   // Store revision that the sender has read, and time since the store or another VM confirmed it.
   revision: zod.number().int().min(0),
   confirmedAgeMs: zod.number(),
+  store: storeReportSchema.STORE_REPORT_SCHEMA,
   // Whether the receiver should respond with a heartbeat of its own.
   reply: zod.enum(['wanted', 'none']),
   // Other VMs that the sender has a record of.
--- a/packages/front/src/vms/FrontProcess.ts
+++ b/packages/front/src/vms/FrontProcess.ts
@@ -128,6 +128,7 @@
       requests: this.requests,
       membership: { post: (message) => this.membership.post(message) },
       startReading: settings.seedHosts.includes(settings.host) ? 'at-once' : 'after-peers',
+      bounds: settings,
     });
     this.membership = new gateway.vms.MembershipTask({
       scheduler,
--- a/packages/front/src/vms/FrontSettings.ts
+++ b/packages/front/src/vms/FrontSettings.ts
@@ -40,6 +40,10 @@
   readonly floorShare: number;
   /** Length of the sliding window of the retry budget, in milliseconds. */
   readonly retryWindowMs: number;
+  /** Time after a disturbance of a VM from which all bounds hold for it again, in milliseconds. */
+  readonly stableWindowMs: number;
+  /** Time within which a published configuration must be in force everywhere, in milliseconds. */
+  readonly configApplyMs: number;
   /** Number of places in the deployment. */
   readonly placeCount: number;
   /** Port and path of the metrics; undefined if they are not served. */
--- a/packages/gateway/src/contracts/Catalog.ts
+++ b/packages/gateway/src/contracts/Catalog.ts
@@ -39,6 +39,15 @@
     return [...this.instanceChanges.values()].flatMap((change) => (change.type === 'instance' ? [change.record] : []));
   }
 
+  /**
+   * Gets the revision at which the entry of an instance was removed, or 0 if it was not.
+   * @param id - Id of the instance.
+   */
+  getRemovalRevision(id: string): number {
+    const change = this.instanceChanges.get(id);
+    return change?.type === 'instance-removed' ? change.revision : 0;
+  }
+
   /**
    * Applies the changes up to a revision of the store. Returns the affected parts of the catalog.
    * @param changes - Changes in any order.
--- a/packages/gateway/src/contracts/CatalogMessage.ts
+++ b/packages/gateway/src/contracts/CatalogMessage.ts
@@ -1,14 +1,21 @@
 import type * as core from '@tamarackferry/core';
 
 import type * as catalogChange from './CatalogChange.js';
+import type * as storeOutage from './StoreOutage.js';
 
 /** Reason why reading the store failed. */
 export type ReadFailureReason = 'unreachable' | 'timed-out' | 'rejected' | 'unreadable';
 
-/** Catalog update for another VM. Its `confirmedAgeMs` is the time since the catalog of the sender was last confirmed to be up to date. */
-export type CatalogUpdate =
-  | { readonly type: 'changes'; readonly revision: number; readonly confirmedAgeMs: number; readonly changes: readonly catalogChange.CatalogChange[] }
-  | { readonly type: 'snapshot'; readonly confirmedAgeMs: number; readonly snapshot: catalogChange.CatalogSnapshot };
+interface CatalogUpdateBase {
+  /** Time since the catalog of the sender was last confirmed to be up to date, in milliseconds. */
+  readonly confirmedAgeMs: number;
+  readonly store: storeOutage.StoreReport;
+}
+
+/** Catalog update for another VM. */
+export type CatalogUpdate = CatalogUpdateBase & (
+  | { readonly type: 'changes'; readonly revision: number; readonly changes: readonly catalogChange.CatalogChange[] }
+  | { readonly type: 'snapshot'; readonly snapshot: catalogChange.CatalogSnapshot });
 
 /** Message to the `CatalogTask`. */
 export type CatalogMessage =
@@ -28,6 +35,7 @@
     readonly distance: 'same-place' | 'other-place';
     readonly revision: number;
     readonly confirmedAgeMs: number;
+    readonly store: storeOutage.StoreReport;
   }
   // A request of a caller waits for the first configuration.
   | { readonly type: 'catalog-needed' }
--- a/packages/gateway/src/contracts/CatalogTask.ts
+++ b/packages/gateway/src/contracts/CatalogTask.ts
@@ -6,15 +6,10 @@
 import * as catalog from './Catalog.js';
 import type * as catalogChange from './CatalogChange.js';
 import type * as catalogMessage from './CatalogMessage.js';
+import * as catalogTiming from './CatalogTiming.js';
 import * as retainedInstances from './RetainedInstances.js';
-
-// Time for which a watch call waits for changes. A store that no longer responds is detected after this time, so it must stay well below
-// the time within which a change has to be in force.
-const WATCH_WAIT_MS = 2_000;
-
-// Pause before the next call of a watch, so that changes in quick succession are read with one call. It is a fifth of the two seconds
-// within which a change has to be in force.
-const WATCH_PAUSE_MS = 400;
+import * as storeContact from './StoreContact.js';
+import type * as storeOutage from './StoreOutage.js';
 
 // A follower reads the store itself if no VM has confirmed its catalog for this time.
 const FOLLOWER_TIMEOUT_MS = 3_000;
@@ -41,9 +36,9 @@
 
 // Interval of the checks of the age of the catalog.
 const CHECK_PERIOD_MS = 500;
-const MIN_BACKOFF_MS = 100;
-// The store counts as stable three seconds after an outage; all readers must have reconnected by then.
-const MAX_BACKOFF_MS = 1_000;
+// The store counts as stable three seconds after an outage; all readers must have reconnected by then. Watchers try more often, since how
+// long instances are retained depends on when they notice the end of the outage.
+const MAX_BACKOFF_MS = { watcher: 400, follower: 1_000 } as const;
 
 // A follower that has started to read the store itself continues for this time before it relies on other VMs again.
 const DIRECT_READ_SPAN_MS = 6_000;
@@ -60,6 +55,7 @@
   readonly membership: core.tasks.Mailbox<membershipMessage.MembershipMessage>;
   /** Whether the VM reads the store soon after its start, or waits longer for a catalog from other VMs. */
   readonly startReading: 'at-once' | 'after-peers';
+  readonly bounds: catalogTiming.CatalogBounds;
 }
 
 /**
@@ -71,6 +67,10 @@
 
   private readonly retained = new retainedInstances.RetainedInstances();
 
+  private readonly timing: catalogTiming.CatalogTiming;
+
+  private readonly contact: storeContact.StoreContact;
+
   // A watcher reads the store itself; a follower fetches catalog updates from other VMs.
   private role: 'watcher' | 'follower' = 'follower';
 
@@ -82,8 +82,8 @@
   // `complete` once a first snapshot was applied.
   private contents: 'empty' | 'complete' = 'empty';
 
-  // Time at which the store last confirmed that the catalog is up to date, directly or through other VMs.
-  private confirmedAtMs = -Infinity;
+  // Time at which the store last answered this VM.
+  private answeredAtMs = -Infinity;
 
   // State in the latest message to the request task.
   private announcedState: 'current' | 'stale' = 'stale';
@@ -98,7 +98,7 @@
 
   private awaitsPlaceUntilMs = 0;
 
-  private backoffMs = MIN_BACKOFF_MS;
+  private backoffMs = catalogTiming.FIRST_RETRY_MS;
 
   // Start time of the catalog update that is being fetched; -Infinity if none is.
   private fetchStartedAtMs = -Infinity;
@@ -111,6 +111,8 @@
   /** @param options - Dependencies and settings of the task. */
   constructor(private readonly options: CatalogTaskOptions) {
     super(options.scheduler);
+    this.timing = new catalogTiming.CatalogTiming(options.bounds);
+    this.contact = new storeContact.StoreContact(this.timing, options.random);
   }
 
   /** Describes the state of the catalog, for gauges. */
@@ -118,7 +120,7 @@
     return {
       version: this.catalog.getConfiguration()?.version ?? 0,
       revision: this.catalog.getRevision(),
-      confirmedAgeMs: this.options.timers.getNowMs() - this.confirmedAtMs,
+      confirmedAgeMs: this.options.timers.getNowMs() - this.contact.getConfirmedAtMs(),
       instances: this.catalog.listInstances().length,
     };
   }
@@ -153,12 +155,12 @@
       case 'changes-read':
         this.handleStoreReached();
         this.finishReading(this.catalog.applyChanges(message.changes, message.revision), 'store');
-        this.scheduleRead(message.changes.length === 0 ? 0 : WATCH_PAUSE_MS);
+        this.scheduleRead(message.changes.length === 0 ? 0 : this.computePauseMs());
         break;
       case 'history-lost':
+        this.contact.recordAnswer();
         this.log('store-history-lost', {});
-        this.reading = 'snapshot';
-        this.options.outbox.post({ type: 'read-snapshot' });
+        this.readSnapshot();
         break;
       case 'read-failed':
         this.handleFailure(message.reason, message.detail);
@@ -199,16 +201,24 @@
     const nowMs = this.options.timers.getNowMs();
     const waitsForPeers = this.contents === 'empty'
       ? nowMs <= this.awaitsPeersUntilMs
-      : nowMs - Math.max(this.confirmedAtMs, this.startedAtMs) <= FOLLOWER_TIMEOUT_MS;
+      : nowMs - Math.max(this.contact.getConfirmedAtMs(), this.startedAtMs) <= FOLLOWER_TIMEOUT_MS;
     if (this.role === 'follower' && waitsForPeers && nowMs >= this.directReadUntilMs) return;
     if (this.role === 'follower' && !waitsForPeers) this.directReadUntilMs = nowMs + DIRECT_READ_SPAN_MS;
     if (this.contents === 'empty') {
-      this.reading = 'snapshot';
-      this.options.outbox.post({ type: 'read-snapshot' });
+      this.readSnapshot();
       return;
     }
     this.reading = 'watching';
-    this.options.outbox.post({ type: 'watch-changes', afterRevision: this.catalog.getRevision(), waitMs: WATCH_WAIT_MS });
+    this.contact.recordRead(nowMs);
+    // After a failure, the first call does not wait for changes, so that its answer shows at once that the store responds again.
+    const waitMs = this.storeState === 'lost' ? 0 : this.timing.computeWatchWaitMs(Math.max(0, nowMs - this.answeredAtMs));
+    this.options.outbox.post({ type: 'watch-changes', afterRevision: this.catalog.getRevision(), waitMs });
+  }
+
+  private readSnapshot(): void {
+    this.reading = 'snapshot';
+    this.contact.recordRead(this.options.timers.getNowMs());
+    this.options.outbox.post({ type: 'read-snapshot' });
   }
 
   private scheduleRead(delayMs: number): void {
@@ -216,8 +226,14 @@
     this.options.timers.subscribe({ mailbox: this, message: { type: 'read-due' as const }, delayMs });
   }
 
+  private computePauseMs(): number {
+    return this.retained.hasRetained() ? catalogTiming.RETENTION_WATCH_PAUSE_MS : catalogTiming.WATCH_PAUSE_MS;
+  }
+
   private handleStoreReached(): void {
-    this.backoffMs = MIN_BACKOFF_MS;
+    this.backoffMs = catalogTiming.FIRST_RETRY_MS;
+    this.answeredAtMs = this.options.timers.getNowMs();
+    this.contact.recordAnswer();
     if (this.storeState !== 'reached') this.log('store-reached', { revision: this.catalog.getRevision() });
     this.storeState = 'reached';
   }
@@ -225,13 +241,15 @@
   private handleFailure(reason: catalogMessage.ReadFailureReason, detail: string): void {
     if (this.storeState !== 'lost') this.log('store-lost', { reason, detail, confirmedAgeMs: this.computeConfirmedAgeMs() });
     this.storeState = 'lost';
+    this.contact.recordFailure(reason);
     // Jitter prevents the VMs from reconnecting to the store at the same moment.
     this.scheduleRead(this.backoffMs * (0.5 + this.options.random.drawFraction()));
-    this.backoffMs = Math.min(MAX_BACKOFF_MS, this.backoffMs * 2);
+    this.backoffMs = Math.min(MAX_BACKOFF_MS[this.role], this.backoffMs * 2);
   }
 
   private handlePeerRevision(received: PeerNews): void {
     const nowMs = this.options.timers.getNowMs();
+    this.applyReport(received.store, nowMs);
     if (this.contents === 'complete' && received.revision <= this.catalog.getRevision()) {
       if (received.revision === this.catalog.getRevision()) this.recordConfirmation(nowMs - received.confirmedAgeMs);
       return;
@@ -257,7 +275,14 @@
     });
   }
 
+  // Instances that are retained although the store was available are dropped when a VM says so.
+  private applyReport(report: storeOutage.StoreReport, nowMs: number): void {
+    this.contact.applyReport(report, nowMs);
+    if (this.retained.hasRetained() && this.contact.getRetention(nowMs) === undefined) this.publishInstances('peer');
+  }
+
   private handleUpdate(update: catalogMessage.CatalogUpdate): void {
+    this.applyReport(update.store, this.options.timers.getNowMs());
     const changedParts = update.type === 'snapshot'
       ? this.catalog.applySnapshot(update.snapshot)
       : this.catalog.applyChanges(update.changes, update.revision);
@@ -277,6 +302,7 @@
     const wasEmpty = this.contents === 'empty';
     this.contents = 'complete';
     this.recordConfirmation(confirmedAtMs);
+    if (source === 'store') this.contact.recordRemovals(this.catalog.getRevision(), confirmedAtMs);
     const current = this.catalog.getConfiguration();
     if (changedParts.has('configuration') && current !== undefined) {
       this.options.requests.post({ type: 'configuration-changed', configuration: current });
@@ -289,28 +315,28 @@
   // The source `lapse` means that retained instances are dropped.
   private publishInstances(source: 'store' | 'peer' | 'lapse'): void {
     const nowMs = this.options.timers.getNowMs();
-    const inUse = this.retained.updateInUse(this.catalog.listInstances(), nowMs);
+    const retention = this.contact.getRetention(nowMs);
+    const inUse = this.retained.updateInUse(this.catalog.listInstances(), (id) => this.catalog.getRemovalRevision(id), retention);
     this.options.requests.post({ type: 'instances-changed', records: inUse });
     this.log('instances-changed', {
       count: inUse.length, draining: inUse.filter((record) => record.state === 'draining').length, revision: this.catalog.getRevision(), source,
     });
-    const remainingMs = this.retained.computeRemainingRetentionMs(nowMs);
-    if (remainingMs !== undefined) this.options.timers.subscribe({ mailbox: this, message: { type: 'check' as const }, delayMs: remainingMs + 1 });
+    if (retention === undefined || !this.retained.hasRetained()) return;
+    this.options.timers.subscribe({ mailbox: this, message: { type: 'check' as const }, delayMs: retention.untilMs - nowMs });
   }
 
   private recordConfirmation(confirmedAtMs: number): void {
-    if (confirmedAtMs <= this.confirmedAtMs) return;
-    const nowMs = this.options.timers.getNowMs();
-    this.retained.recordStoreRecovery(confirmedAtMs - this.confirmedAtMs, nowMs);
-    this.confirmedAtMs = confirmedAtMs;
-    this.announceRevision('unchanged');
+    const result = this.contact.recordConfirmation(confirmedAtMs, this.catalog.getRevision());
+    if (result === 'outdated') return;
+    if (result === 'outage-ended') this.log('store-outage-ended', { revision: this.catalog.getRevision() });
+    // The other VMs must hear of the end of an outage at once, since they retain instances from then on.
+    this.announceRevision(result === 'outage-ended' ? 'changed' : 'unchanged');
     this.announceState();
   }
 
   private checkAge(): void {
     this.announceState();
-    const remainingMs = this.retained.computeRemainingRetentionMs(this.options.timers.getNowMs());
-    if (remainingMs === 0) this.publishInstances('lapse');
+    if (this.retained.hasRetained() && this.contact.getRetention(this.options.timers.getNowMs()) === undefined) this.publishInstances('lapse');
     this.readIfNeeded();
   }
 
@@ -326,7 +352,7 @@
     this.options.membership.post({
       type: 'catalog-status',
       revision: this.catalog.getRevision(),
-      confirmedAtMs: this.confirmedAtMs,
+      store: this.contact.getStatus(),
       content,
       configuration: this.catalog.getConfiguration() === undefined ? 'missing' : 'present',
     });
@@ -334,17 +360,20 @@
 
   private buildUpdate(afterRevision: number): catalogMessage.CatalogUpdate {
     const confirmedAgeMs = this.computeConfirmedAgeMs();
+    const store = storeContact.StoreContact.buildReport(this.contact.getStatus(), this.options.timers.getNowMs());
     const changes: catalogChange.CatalogChange[] | undefined = afterRevision < 0 ? undefined : this.catalog.listChangesAfter(afterRevision);
     return changes === undefined
-      ? { type: 'snapshot', confirmedAgeMs, snapshot: this.catalog.buildSnapshot() }
+      ? {
+        type: 'snapshot', confirmedAgeMs, store, snapshot: this.catalog.buildSnapshot(),
+      }
       : {
-        type: 'changes', confirmedAgeMs, revision: this.catalog.getRevision(), changes,
+        type: 'changes', confirmedAgeMs, store, revision: this.catalog.getRevision(), changes,
       };
   }
 
   private computeConfirmedAgeMs(): number {
     // The age is infinite before the first confirmation, which JSON cannot represent.
-    return Math.min(1e9, Math.round(this.options.timers.getNowMs() - this.confirmedAtMs));
+    return Math.min(1e9, Math.round(this.options.timers.getNowMs() - this.contact.getConfirmedAtMs()));
   }
 
   private log(event: string, fields: gatewayOutput.LogFields): void {
--- a/packages/gateway/src/vms/MembershipMessage.ts
+++ b/packages/gateway/src/vms/MembershipMessage.ts
@@ -1,6 +1,7 @@
 import type * as core from '@tamarackferry/core';
 
 import type * as serviceOutcomes from '../callers/ServiceOutcomes.js';
+import type * as storeOutage from '../contracts/StoreOutage.js';
 import type * as instanceEvidence from '../upstreams/InstanceEvidence.js';
 import type * as vmHeartbeat from './VmHeartbeat.js';
 
@@ -23,8 +24,7 @@
   | {
     readonly type: 'catalog-status';
     readonly revision: number;
-    /** Time at which the store or another VM last confirmed that the catalog is up to date. */
-    readonly confirmedAtMs: number;
+    readonly store: storeOutage.StoreStatus;
     /** Whether the catalog has changed since the previous message. */
     readonly content: 'changed' | 'unchanged';
     readonly configuration: 'present' | 'missing';
--- a/packages/gateway/src/vms/MembershipTask.ts
+++ b/packages/gateway/src/vms/MembershipTask.ts
@@ -3,6 +3,8 @@
 import type * as serviceOutcomes from '../callers/ServiceOutcomes.js';
 import type * as gatewayOutput from '../callers/GatewayOutput.js';
 import type * as catalogMessage from '../contracts/CatalogMessage.js';
+import * as storeContact from '../contracts/StoreContact.js';
+import type * as storeOutage from '../contracts/StoreOutage.js';
 import type * as instanceEvidence from '../upstreams/InstanceEvidence.js';
 import * as evidenceBatch from './EvidenceBatch.js';
 import * as fleetView from './FleetView.js';
@@ -61,8 +63,7 @@
   // Revision of the catalog of this VM.
   private revision = 0;
 
-  // Time at which the store or another VM last confirmed that the catalog of this VM is up to date.
-  private confirmedAtMs = -Infinity;
+  private store: storeOutage.StoreStatus = { confirmedAtMs: -Infinity, confirmedSinceMs: -Infinity, outage: undefined };
 
   // Sequence number of the latest heartbeat.
   private sequence = 0;
@@ -215,17 +216,22 @@
       distance: heartbeat.place === self.place ? 'same-place' : 'other-place',
       revision: heartbeat.revision,
       confirmedAgeMs: heartbeat.confirmedAgeMs,
+      store: heartbeat.store,
     });
     if (heartbeat.reply === 'wanted') this.sendHeartbeat([heartbeat.host], 'none', this.fleet.listForNewcomer(heartbeat.place, nowMs));
   }
 
   private handleCatalog(status: Extract<membershipMessage.MembershipMessage, { type: 'catalog-status' }>): void {
     this.revision = status.revision;
-    this.confirmedAtMs = status.confirmedAtMs;
+    this.store = status.store;
     if (this.state === 'starting' && status.configuration === 'present') {
       this.setState('ready');
       this.announce();
-    } else if (status.content === 'changed' && this.role === 'watcher') this.announce();
+    } else if (status.content === 'changed' && this.role === 'watcher') {
+      this.announce();
+      // The fronts of the other places may have lost the store, or may be the only ones that know more of an outage.
+      this.sendHeartbeat(this.fleet.getOtherFronts(), 'none', []);
+    }
   }
 
   // Sends a heartbeat to the VMs of the place immediately instead of at the next tick. Reserves need not know of each other at once, unless
@@ -318,7 +324,8 @@
         sequence: this.sequence,
         state: this.state,
         revision: this.revision,
-        confirmedAgeMs: Math.min(1e9, Math.round(nowMs - this.confirmedAtMs)),
+        confirmedAgeMs: Math.min(1e9, Math.round(nowMs - this.store.confirmedAtMs)),
+        store: storeContact.StoreContact.buildReport(this.store, nowMs),
         reply,
         mentions: mentioned.map((vm) => vm.buildDigest(nowMs)),
       },
--- a/packages/gateway/src/vms/VmHeartbeat.ts
+++ b/packages/gateway/src/vms/VmHeartbeat.ts
@@ -1,3 +1,5 @@
+import type * as storeOutage from '../contracts/StoreOutage.js';
+
 /**
  * State of a VM as reported by itself.
  * - `starting`: has no configuration yet.
@@ -36,6 +38,7 @@
   readonly revision: number;
   /** Time since the store or another VM last confirmed that its catalog is up to date, in milliseconds. */
   readonly confirmedAgeMs: number;
+  readonly store: storeOutage.StoreReport;
   /** Whether the receiver should send a heartbeat back. */
   readonly reply: 'wanted' | 'none';
   /** Digests of randomly chosen VMs that the sender can reach, so that their state spreads (gossip). */
--- a/packages/gateway/test/FleetReplay.ts
+++ b/packages/gateway/test/FleetReplay.ts
@@ -1,20 +1,21 @@
 import * as core from '@tamarackferry/core';
 import * as gateway from '@tamarackferry/gateway';
 
+import * as simulatedStore from './SimulatedStore.js';
 import * as testRoute from './TestRoute.js';
 
 // Delays in one direction.
 const DATAGRAM_DELAY_MS = { 'same-place': 0.3, 'other-place': 5 } as const;
-const STORE_DELAY_MS = 4;
 const FETCH_MS = 30;
 
 // VMs of a fleet start within this time, in random order.
 const START_SPREAD_MS = 300;
 
 const SEEDS = 3;
-const SNAPSHOT: gateway.contracts.CatalogSnapshot = {
-  revision: 5, changes: [{ type: 'configuration', revision: 4, configuration: testRoute.buildConfiguration(3, []) }],
-};
+
+/** Bounds of the users' sites. */
+export const BOUNDS = { stableWindowMs: 3_000, configApplyMs: 2_000, drainMs: 2_000 } as const;
+const FIRST_VERSION = 3;
 
 /** What one VM of a `FleetReplay` did. */
 export interface FleetVm {
@@ -27,21 +28,31 @@
   /** Datagrams received, timer messages and calls to the store. */
   received: number;
   ticks: number;
-  storeCalls: number;
   readonly lost: string[];
+  readonly state: 'running' | 'down';
+  /** Version of the configuration in force, and ids of the instances in use. */
+  version: number;
+  instances: readonly string[];
 }
 
-/** Runs the membership and catalog tasks of all VMs of a fleet under virtual time, with a store that has one configuration. */
+/** Runs the membership and catalog tasks of all VMs of a fleet under virtual time, with a store that has a configuration. */
 export class FleetReplay {
   readonly timers = new core.time.VirtualTimerService();
 
   readonly vms = new Map<string, FleetVm>();
 
+  readonly store = new simulatedStore.SimulatedStore(this.timers);
+
+  /** VMs that are cut off from all others. */
+  readonly cut = new Set<string>();
+
   /** Hosts that evidence was sent to. */
   readonly evidenceHosts = new Set<string>();
 
   private readonly random: core.randomness.RandomSource;
 
+  private readonly seedHosts: readonly string[];
+
   /**
    * @param places - Number of places.
    * @param vmsPerPlace - VMs of each place, of which the first three have a larger capacity.
@@ -51,8 +62,9 @@
     this.random = new core.randomness.SeededRandomSource(seed);
     const names = Array.from({ length: places }, (_, place) => Array.from({ length: vmsPerPlace }, (__, index) => `p${place}-${index}`)).flat();
     // Seeds are ordinary VMs, not the largest ones.
-    const seedHosts = this.random.shuffleItems(names).slice(0, SEEDS);
-    names.forEach((name) => this.addVm(name, seedHosts));
+    this.seedHosts = this.random.shuffleItems(names).slice(0, SEEDS);
+    this.publishConfiguration(FIRST_VERSION);
+    names.forEach((name) => this.addVm(name));
     names.forEach((name) => this.schedule(this.random.drawFraction() * START_SPREAD_MS, () => this.startVm(this.vms.get(name)!)));
   }
 
@@ -73,54 +85,104 @@
 
   /** Counts the calls of all VMs to the store. */
   countStoreCalls(): number {
-    return [...this.vms.values()].reduce((sum, vm) => sum + vm.storeCalls, 0);
+    return [...this.store.calls.values()].reduce((sum, calls) => sum + calls, 0);
   }
 
-  private addVm(name: string, seedHosts: readonly string[]): void {
+  /**
+   * Publishes a configuration. Returns the time of the acknowledgement.
+   * @param version - Version.
+   */
+  publishConfiguration(version: number): number {
+    return this.store.write((revision) => ({ type: 'configuration', revision, configuration: testRoute.buildConfiguration(version, []) }));
+  }
+
+  /**
+   * Publishes an instance. Returns the time of the acknowledgement.
+   * @param id - Id of the instance, which ends with a number.
+   */
+  publishInstance(id: string): number {
+    const record = testRoute.buildInstance(id, { port: 8_000 + Number(/\d+$/.exec(id)?.[0]) });
+    return this.store.write((revision) => ({
+      type: 'instance', id, revision, record,
+    }));
+  }
+
+  /**
+   * Removes the entry of an instance. Returns the time of the acknowledgement.
+   * @param id - Id of the instance.
+   */
+  removeInstance(id: string): number {
+    return this.store.write((revision) => ({ type: 'instance-removed', id, revision }));
+  }
+
+  /**
+   * Kills the process of a VM and starts it again later.
+   * @param vm - VM.
+   * @param downMs - Time until the next start, in milliseconds.
+   */
+  killVm(vm: FleetVm, downMs: number): void {
+    Object.assign(vm, { state: 'down' });
+    this.schedule(downMs, () => {
+      this.addVm(vm.name);
+      this.startVm(this.vms.get(vm.name)!);
+    });
+  }
+
+  private addVm(name: string): void {
+    const [place, index] = name.split('-') as [string, string];
+    // The tasks are added below, since they post to this record.
+    const vm = {
+      name, place, startedAtMs: Infinity, readyAtMs: Infinity, received: 0, ticks: 0, lost: [], state: 'running', version: 0, instances: [],
+    } as unknown as FleetVm;
     const scheduler = new core.tasks.TaskScheduler();
     const random = new core.randomness.SeededRandomSource(this.random.drawInteger(2 ** 30));
-    const outbox = { post: (output: Output) => this.handleOutput(name, output) };
-    const [place, index] = name.split('-') as [string, string];
+    const outbox = { post: (output: Output) => this.handleOutput(vm, output) };
     const catalog = new gateway.contracts.CatalogTask({
       scheduler,
       timers: this.timers,
       random,
       outbox,
-      requests: { post: () => undefined },
-      membership: { post: (message) => this.vms.get(name)?.membership.post(message) },
-      startReading: seedHosts.includes(name) ? 'at-once' : 'after-peers',
+      requests: { post: (message) => FleetReplay.recordMessage(vm, message) },
+      membership: { post: (message) => vm.membership.post(message) },
+      startReading: this.seedHosts.includes(name) ? 'at-once' : 'after-peers',
+      bounds: BOUNDS,
     });
     const membership = new gateway.vms.MembershipTask({
       scheduler,
-      timers: { ...this.timers, getNowMs: () => this.timers.getNowMs(), subscribe: (subscribed) => this.countTicks(name, subscribed) },
+      timers: { ...this.timers, getNowMs: () => this.timers.getNowMs(), subscribe: (subscribed) => this.countTicks(vm, subscribed) },
       random,
       outbox,
       catalog,
       self: {
-        name, host: name, place, incarnation: `${name}/1`, capacity: Number(index) < 3 ? 1.35 : 0.27,
+        name, host: name, place, incarnation: `${name}/${this.timers.getNowMs()}`, capacity: Number(index) < 3 ? 1.35 : 0.27,
       },
-      seedHosts,
+      seedHosts: this.seedHosts,
       frontsPerPlace: 2,
       validityMs: 1_200,
     });
-    this.vms.set(name, {
-      name, place, membership, catalog, startedAtMs: Infinity, readyAtMs: Infinity, received: 0, ticks: 0, storeCalls: 0, lost: [],
-    });
+    Object.assign(vm, { catalog, membership });
+    this.vms.set(name, vm);
+  }
+
+  private static recordMessage(vm: FleetVm, message: gateway.callers.RoutedRequestMessage): void {
+    if (message.type === 'configuration-changed') Object.assign(vm, { version: message.configuration.version });
+    if (message.type === 'instances-changed') Object.assign(vm, { instances: message.records.map((record) => record.id) });
   }
 
   private startVm(vm: FleetVm): void {
-    this.vms.set(vm.name, Object.assign(vm, { startedAtMs: this.timers.getNowMs() }));
+    Object.assign(vm, { startedAtMs: this.timers.getNowMs() });
     vm.membership.post({ type: 'start' });
     vm.catalog.post({ type: 'start' });
   }
 
-  private countTicks<Message>(name: string, subscribed: core.time.TimerOptions<Message>): core.time.TimerSubscription {
-    this.vms.get(name)!.ticks += 1;
+  private countTicks<Message>(vm: FleetVm, subscribed: core.time.TimerOptions<Message>): core.time.TimerSubscription {
+    Object.assign(vm, { ticks: vm.ticks + 1 });
     return this.timers.subscribe(subscribed);
   }
 
-  private handleOutput(name: string, output: Output): void {
-    const vm = this.vms.get(name)!;
+  private handleOutput(vm: FleetVm, output: Output): void {
+    // The process of the VM was killed.
+    if (vm.state === 'down') return;
     switch (output.type) {
       case 'send-heartbeat':
         output.hosts.forEach((host) => this.sendHeartbeat(vm, host, output.heartbeat));
@@ -129,41 +191,49 @@
         output.hosts.forEach((host) => this.evidenceHosts.add(host));
         break;
       case 'read-snapshot':
-        // The configuration and eight pages of instances.
-        vm.storeCalls += 9;
-        this.schedule(9 * 2 * STORE_DELAY_MS, () => vm.catalog.post({ type: 'snapshot-read', snapshot: SNAPSHOT }));
-        break;
       case 'watch-changes':
-        vm.storeCalls += 1;
-        this.schedule(output.waitMs, () => vm.catalog.post({ type: 'changes-read', changes: [], revision: SNAPSHOT.revision }));
+        this.store.receiveCall(vm.name, output, (message) => vm.catalog.post(message));
         break;
       case 'fetch-update':
-        this.schedule(FETCH_MS, () => this.vms.get(output.host)!.catalog.post({
-          type: 'update-requested',
-          afterRevision: output.afterRevision,
-          replyTo: { post: (update) => vm.catalog.post({ type: 'peer-update', host: output.host, update }) },
-        }));
+        this.schedule(FETCH_MS, () => this.fetchUpdate(vm, output));
         break;
       case 'log':
         if (output.event === 'vm-lost') vm.lost.push(String(output.fields['peer']));
-        if (output.event === 'vm-state' && output.fields['to'] === 'ready') vm.readyAtMs = Math.min(vm.readyAtMs, this.timers.getNowMs());
+        if (output.event === 'vm-state' && output.fields['to'] === 'ready') {
+          Object.assign(vm, { readyAtMs: Math.min(vm.readyAtMs, this.timers.getNowMs()) });
+        }
         break;
       default:
         break;
     }
   }
 
+  private fetchUpdate(vm: FleetVm, { host, afterRevision }: Extract<Output, { type: 'fetch-update' }>): void {
+    const source = this.vms.get(host)!;
+    if (source.state === 'down' || this.isCut(vm, source)) {
+      vm.catalog.post({ type: 'peer-unreached', host });
+      return;
+    }
+    source.catalog.post({
+      type: 'update-requested', afterRevision, replyTo: { post: (update) => vm.catalog.post({ type: 'peer-update', host, update }) },
+    });
+  }
+
   private sendHeartbeat(from: FleetVm, host: string, heartbeat: gateway.vms.VmHeartbeat): void {
     const receiver = this.vms.get(host);
-    if (receiver === undefined) return;
+    if (receiver === undefined || receiver.state === 'down' || this.isCut(from, receiver)) return;
     const delayMs = DATAGRAM_DELAY_MS[receiver.place === from.place ? 'same-place' : 'other-place'];
     this.schedule(delayMs, () => {
-      if (receiver.startedAtMs > this.timers.getNowMs()) return;
+      if (receiver.state === 'down' || receiver.startedAtMs > this.timers.getNowMs()) return;
       receiver.received += 1;
       receiver.membership.post({ type: 'heartbeat-received', heartbeat });
     });
   }
 
+  private isCut(from: FleetVm, to: FleetVm): boolean {
+    return this.cut.has(from.name) || this.cut.has(to.name);
+  }
+
   private schedule(delayMs: number, run: () => void): void {
     this.timers.subscribe({ mailbox: { post: run }, message: undefined, delayMs });
   }
--- a/packages/gateway/test/contracts/Catalog.test.ts
+++ b/packages/gateway/test/contracts/Catalog.test.ts
@@ -45,30 +45,34 @@
 
 vitest.describe('RetainedInstances', () => {
   const record = testRoute.buildInstance('i1');
+  const RETENTION = { untilMs: 12_000, returnRevision: 9 };
+  const removeAt = (revision: number): (() => number) => () => revision;
 
   vitest.it('retains an instance whose entry expired during an outage of the store until it has had time to republish it', () => {
     const retained = new gateway.contracts.RetainedInstances();
-    retained.updateInUse([record], 0);
-    retained.recordStoreRecovery(6_000, 10_000);
-    vitest.expect(retained.updateInUse([], 10_001)).toEqual([record]);
-    vitest.expect(retained.updateInUse([], 12_300)).toEqual([]);
+    retained.updateInUse([record], removeAt(0), undefined);
+    vitest.expect(retained.updateInUse([], removeAt(9), RETENTION)).toEqual([record]);
+    vitest.expect(retained.updateInUse([], removeAt(9), undefined)).toEqual([]);
   });
 
   vitest.it('drops an instance immediately if its entry is removed while the store is reachable, or if it was draining', () => {
     const retained = new gateway.contracts.RetainedInstances();
-    retained.updateInUse([record], 0);
-    retained.recordStoreRecovery(1_000, 10_000);
-    vitest.expect(retained.updateInUse([], 10_001)).toEqual([]);
-    retained.updateInUse([{ ...record, state: 'draining' }], 10_002);
-    retained.recordStoreRecovery(6_000, 20_000);
-    vitest.expect(retained.updateInUse([], 20_001)).toEqual([]);
+    retained.updateInUse([record], removeAt(0), undefined);
+    vitest.expect(retained.updateInUse([], removeAt(9), undefined)).toEqual([]);
+    retained.updateInUse([{ ...record, state: 'draining' }], removeAt(0), undefined);
+    vitest.expect(retained.updateInUse([], removeAt(9), RETENTION)).toEqual([]);
+  });
+
+  vitest.it('drops an instance whose entry was removed after the outage', () => {
+    const retained = new gateway.contracts.RetainedInstances();
+    retained.updateInUse([record], removeAt(0), undefined);
+    vitest.expect(retained.updateInUse([], removeAt(10), RETENTION)).toEqual([]);
   });
 
   vitest.it('drops a retained instance if another instance has its address', () => {
     const retained = new gateway.contracts.RetainedInstances();
-    retained.updateInUse([record], 0);
-    retained.recordStoreRecovery(6_000, 10_000);
+    retained.updateInUse([record], removeAt(0), undefined);
     const other = { ...record, id: 'i2', service: 's2' };
-    vitest.expect(retained.updateInUse([other], 10_001)).toEqual([other]);
+    vitest.expect(retained.updateInUse([other], removeAt(9), RETENTION)).toEqual([other]);
   });
 });
--- a/packages/gateway/test/contracts/CatalogTask.test.ts
+++ b/packages/gateway/test/contracts/CatalogTask.test.ts
@@ -2,6 +2,7 @@
 import * as gateway from '@tamarackferry/gateway';
 import * as vitest from 'vitest';
 
+import * as fleetReplay from '../FleetReplay.js';
 import * as testRoute from '../TestRoute.js';
 
 type Output = gateway.contracts.CatalogOutput | gateway.callers.GatewayOutput;
@@ -28,6 +29,7 @@
       requests: { post: (message) => this.requestMessages.push(message) },
       membership: { post: (message) => this.membershipMessages.push(message) },
       startReading,
+      bounds: fleetReplay.BOUNDS,
     });
   }
 
@@ -52,6 +54,8 @@
 const CONFIGURATION: gateway.contracts.CatalogChange = {
   type: 'configuration', revision: 4, configuration: testRoute.buildConfiguration(3, []),
 };
+// Report of a VM that has just found the store.
+const REPORT: gateway.contracts.StoreReport = { confirmedForMs: 0 };
 const SNAPSHOT = { revision: 5, changes: [CONFIGURATION, INSTANCE] };
 
 function buildWatcher(): TestCatalog {
@@ -67,7 +71,7 @@
   vitest.it('reads a snapshot once and then watches for changes', () => {
     const tested = buildWatcher();
     vitest.expect(tested.countOutputs('read-snapshot')).toBe(1);
-    vitest.expect(tested.outputs).toContainEqual({ type: 'watch-changes', afterRevision: 5, waitMs: 2_000 });
+    vitest.expect(tested.outputs).toContainEqual({ type: 'watch-changes', afterRevision: 5, waitMs: 1_800 });
     vitest.expect(tested.listInstancesInUse()).toEqual(['i1']);
   });
 
@@ -94,10 +98,16 @@
     const tested = new TestCatalog();
     tested.task.post({ type: 'start' });
     tested.task.post({
-      type: 'peer-revision-received', host: '10.0.0.2', distance: 'same-place', revision: 5, confirmedAgeMs: 10,
+      type: 'peer-revision-received', host: '10.0.0.2', distance: 'same-place', revision: 5, confirmedAgeMs: 10, store: REPORT,
     });
     vitest.expect(tested.outputs).toContainEqual({ type: 'fetch-update', host: '10.0.0.2', afterRevision: -1 });
-    tested.task.post({ type: 'peer-update', host: '10.0.0.2', update: { type: 'snapshot', confirmedAgeMs: 10, snapshot: SNAPSHOT } });
+    tested.task.post({
+      type: 'peer-update',
+      host: '10.0.0.2',
+      update: {
+        type: 'snapshot', confirmedAgeMs: 10, store: REPORT, snapshot: SNAPSHOT,
+      },
+    });
     tested.timers.advanceTo(3_500);
     vitest.expect(tested.countOutputs('watch-changes')).toBe(0);
     tested.timers.advanceTo(5_000);
@@ -107,7 +117,13 @@
   vitest.it('does not accept an outdated update from a peer without access to the store as a confirmation', () => {
     const tested = new TestCatalog();
     tested.task.post({ type: 'start' });
-    tested.task.post({ type: 'peer-update', host: '10.0.0.2', update: { type: 'snapshot', confirmedAgeMs: 60_000, snapshot: SNAPSHOT } });
+    tested.task.post({
+      type: 'peer-update',
+      host: '10.0.0.2',
+      update: {
+        type: 'snapshot', confirmedAgeMs: 60_000, store: REPORT, snapshot: SNAPSHOT,
+      },
+    });
     vitest.expect(tested.requestMessages.filter((message) => message.type === 'catalog-state')).toEqual([]);
     tested.timers.advanceTo(6_000);
     vitest.expect(tested.countOutputs('watch-changes')).toBe(1);
@@ -115,10 +131,17 @@
 
   vitest.it('retains instances whose entries expired during an outage of the store until they have had time to republish them', () => {
     const tested = buildWatcher();
+    tested.timers.advanceTo(4_000);
+    tested.task.post({ type: 'read-failed', reason: 'timed-out', detail: '' });
+    tested.timers.advanceTo(8_000);
+    // The call on the new connection has started at the latest 150 ms after the failure.
+    tested.task.post({ type: 'read-failed', reason: 'unreachable', detail: '' });
     tested.timers.advanceTo(9_000);
+    tested.task.post({ type: 'read-failed', reason: 'unreachable', detail: '' });
+    tested.timers.advanceTo(9_600);
     tested.task.post({ type: 'changes-read', changes: [{ type: 'instance-removed', id: 'i1', revision: 9 }], revision: 9 });
     vitest.expect(tested.listInstancesInUse()).toEqual(['i1']);
-    tested.timers.advanceTo(11_500);
+    tested.timers.advanceTo(12_000);
     vitest.expect(tested.listInstancesInUse()).toEqual([]);
   });
 
@@ -128,6 +151,16 @@
     vitest.expect(tested.listInstancesInUse()).toEqual([]);
   });
 
+  // Guards against requests to an instance that left while only the connection to the store was silent.
+  vitest.it('drops an instance immediately if its entry is removed while a silent connection hid it', () => {
+    const tested = buildWatcher();
+    tested.timers.advanceTo(5_000);
+    tested.task.post({ type: 'read-failed', reason: 'timed-out', detail: '' });
+    tested.timers.advanceTo(5_200);
+    tested.task.post({ type: 'changes-read', changes: [{ type: 'instance-removed', id: 'i1', revision: 9 }], revision: 9 });
+    vitest.expect(tested.listInstancesInUse()).toEqual([]);
+  });
+
   vitest.it('sends a peer a snapshot, or the changes that it lacks', () => {
     const tested = buildWatcher();
     const updates: gateway.contracts.CatalogUpdate[] = [];
@@ -155,7 +188,7 @@
   vitest.it('fetches one update at a time, and afterwards the one that was announced meanwhile', () => {
     const tested = buildWatcher();
     const announce = (host: string, revision: number): void => tested.task.post({
-      type: 'peer-revision-received', host, distance: 'same-place', revision, confirmedAgeMs: 10,
+      type: 'peer-revision-received', host, distance: 'same-place', revision, confirmedAgeMs: 10, store: REPORT,
     });
     announce('10.0.0.2', 7);
     announce('10.0.0.3', 8);
@@ -164,7 +197,7 @@
       type: 'peer-update',
       host: '10.0.0.2',
       update: {
-        type: 'changes', revision: 7, confirmedAgeMs: 10, changes: [],
+        type: 'changes', revision: 7, confirmedAgeMs: 10, store: REPORT, changes: [],
       },
     });
     vitest.expect(tested.outputs.filter((output) => output.type === 'fetch-update').at(-1)).toMatchObject({ host: '10.0.0.3', afterRevision: 7 });
@@ -175,7 +208,7 @@
     ['10.0.0.2', '10.0.0.3'].forEach((host, index) => {
       tested.timers.advanceTo(2_000 + index * 800);
       tested.task.post({
-        type: 'peer-revision-received', host, distance: 'same-place', revision: 9, confirmedAgeMs: 10,
+        type: 'peer-revision-received', host, distance: 'same-place', revision: 9, confirmedAgeMs: 10, store: REPORT,
       });
     });
     vitest.expect(tested.outputs.filter((output) => output.type === 'fetch-update').map((output) => output.host)).toEqual(['10.0.0.2', '10.0.0.3']);
@@ -191,7 +224,7 @@
 
     function announceStale(tested: TestCatalog): void {
       tested.task.post({
-        type: 'peer-revision-received', host: '10.0.0.2', distance: 'same-place', revision: 5, confirmedAgeMs: 60_000,
+        type: 'peer-revision-received', host: '10.0.0.2', distance: 'same-place', revision: 5, confirmedAgeMs: 60_000, store: REPORT,
       });
     }
 
--- a/packages/proof/src/bench/GatewayBench.ts
+++ b/packages/proof/src/bench/GatewayBench.ts
@@ -129,7 +129,7 @@
     tasks.forEach((task) => {
       task.post({ type: 'start' });
       task.post({
-        type: 'catalog-status', revision: 1, confirmedAtMs: 0, content: 'changed', configuration: 'present',
+        type: 'catalog-status', revision: 1, store: { confirmedAtMs: 0, confirmedSinceMs: 0, outage: undefined }, content: 'changed', configuration: 'present',
       });
     });
     timers.advanceTo(SETTLE_MS);
