Schedule the check for silent watchers again when its timer fires early

Cause: timers of the system may fire up to a millisecond early. The check compared the time with the planned one, took itself for still pending and was not scheduled again, so that only the check once a second noticed the silence.

Ruled out: the load of the machine as such; the replay shows the delay on virtual time with timers that fire 1 ms early.

Change: the message of the check says that it is over.

Test that failed before: CatalogTask, 'reads the store in time when no watcher is heard, also if the timer for that fires early'.

--- a/packages/gateway/src/contracts/CatalogMessage.ts
+++ b/packages/gateway/src/contracts/CatalogMessage.ts
@@ -46,7 +46,8 @@
   // Another VM requests the changes after a revision, or a snapshot if the revision is negative.
   | { readonly type: 'update-requested'; readonly afterRevision: number; readonly replyTo: core.tasks.Mailbox<CatalogUpdate> }
   | { readonly type: 'read-due' }
-  | { readonly type: 'check' };
+  | { readonly type: 'check' }
+  | { readonly type: 'silence-check-due' };
 
 /** Message from the `CatalogTask` to the task that owns the connection to the store, or to the one that owns those to other VMs. */
 export type CatalogOutput =
--- a/packages/gateway/src/contracts/CatalogTask.ts
+++ b/packages/gateway/src/contracts/CatalogTask.ts
@@ -96,8 +96,8 @@
   // Time of the latest heartbeat of a watcher of the place.
   private watcherHeardAtMs = -Infinity;
 
-  // Time of the next check of whether the watchers are silent.
-  private silenceCheckAtMs = -Infinity;
+  // Check of whether the watchers are silent.
+  private silenceCheck: 'none' | 'scheduled' = 'none';
 
   // Times until which the first catalog is awaited from other VMs, and from those of the same place only.
   private awaitsPeersUntilMs = Infinity;
@@ -190,6 +190,12 @@
       case 'check':
         this.checkAge();
         break;
+      case 'silence-check-due':
+        // Timers may fire a little early; then the check is scheduled again.
+        this.silenceCheck = 'none';
+        this.readIfNeeded();
+        this.scheduleSilenceCheck();
+        break;
       // no default
     }
   }
@@ -234,10 +240,10 @@
   private scheduleSilenceCheck(): void {
     const nowMs = this.options.timers.getNowMs();
     const remainingMs = this.computeSilenceEndMs() - nowMs;
-    if (this.role === 'watcher' || nowMs < this.silenceCheckAtMs || remainingMs <= 0) return;
+    if (this.role === 'watcher' || this.silenceCheck === 'scheduled' || remainingMs <= 0) return;
+    this.silenceCheck = 'scheduled';
     const delayMs = remainingMs + catalogTiming.SILENCE_SPREAD_MS * this.options.random.drawFraction();
-    this.silenceCheckAtMs = nowMs + delayMs;
-    this.options.timers.subscribe({ mailbox: this, message: { type: 'check' as const }, delayMs });
+    this.options.timers.subscribe({ mailbox: this, message: { type: 'silence-check-due' as const }, delayMs });
   }
 
   private readSnapshot(): void {
--- a/packages/gateway/test/contracts/CatalogTask.test.ts
+++ b/packages/gateway/test/contracts/CatalogTask.test.ts
@@ -2,6 +2,7 @@
 import * as gateway from '@tamarackferry/gateway';
 import * as vitest from 'vitest';
 
+import * as earlyTimerService from '../EarlyTimerService.js';
 import * as fleetReplay from '../FleetReplay.js';
 import * as testRoute from '../TestRoute.js';
 
@@ -9,8 +10,6 @@
 
 /** Catalog task under virtual time, with a record of the messages that it sends. */
 class TestCatalog {
-  readonly timers = new core.time.VirtualTimerService(1_000);
-
   readonly outputs: Output[] = [];
 
   readonly requestMessages: gateway.callers.RoutedRequestMessage[] = [];
@@ -19,8 +18,11 @@
 
   readonly task: gateway.contracts.CatalogTask;
 
-  /** @param startReading - Whether the VM reads the store soon after its start. */
-  constructor(startReading: 'at-once' | 'after-peers' = 'at-once') {
+  /**
+   * @param startReading - Whether the VM reads the store soon after its start.
+   * @param timers - Virtual time.
+   */
+  constructor(startReading: 'at-once' | 'after-peers' = 'at-once', readonly timers = new core.time.VirtualTimerService(1_000)) {
     this.task = new gateway.contracts.CatalogTask({
       scheduler: new core.tasks.TaskScheduler(),
       timers: this.timers,
@@ -114,6 +116,29 @@
     vitest.expect(tested.countOutputs('watch-changes')).toBe(1);
   });
 
+  // Guards against a late configuration after a timer that fired a moment too early was not scheduled again.
+  vitest.it('reads the store in time when no watcher is heard, also if the timer for that fires early', () => {
+    const tested = new TestCatalog('at-once', new earlyTimerService.EarlyTimerService(1_000));
+    const announce = (): void => tested.task.post({
+      type: 'peer-revision-received', host: '10.0.0.2', distance: 'same-place', role: 'watcher', revision: 5, confirmedAgeMs: 10, store: REPORT,
+    });
+    tested.task.post({ type: 'start' });
+    announce();
+    tested.task.post({
+      type: 'peer-update',
+      host: '10.0.0.2',
+      update: {
+        type: 'snapshot', confirmedAgeMs: 10, store: REPORT, snapshot: SNAPSHOT,
+      },
+    });
+    [2_000, 3_000, 3_900, 4_800, 5_400, 5_600].forEach((atMs) => {
+      tested.timers.advanceTo(atMs);
+      announce();
+    });
+    tested.timers.advanceTo(7_060);
+    vitest.expect(tested.countOutputs('watch-changes')).toBe(1);
+  });
+
   vitest.it('does not accept an outdated update from a peer without access to the store as a confirmation', () => {
     const tested = new TestCatalog();
     tested.task.post({ type: 'start' });
