Count the memory that bodies and answers in small chunks hold

What callers saw: processes ended by themselves (FAULT), and requests of other callers that had run got no answer (LOST). That the users' own runs had this cause is only suspected, since they kept no logs.

Cause: each chunk was kept as a buffer of its own, at some 150 bytes of heap besides its content, and with the memory into which the socket was read. The budgets counted the content.

Change: BlockBuffer copies short chunks into blocks and tells how much memory it has taken, which the budgets of both sides count.

Tests that failed before: FrontExchange and RoutedResponseReader, 43,018,560 and 43,018,944 bytes held for 400,000 chunks of one byte, of 1,000,000 allowed. BlockBuffer is tested with chunks of any length.

--- a/packages/entry/src/upstreams/Exchange.ts
+++ b/packages/entry/src/upstreams/Exchange.ts
@@ -91,6 +91,11 @@
    */
   protected abstract reportEnding(ending: ExchangeEnding): void;
 
+  /** Whether the exchange has not ended. */
+  protected isOpen(): boolean {
+    return this.state === 'open';
+  }
+
   /** Handles a response that exceeds the buffer. By default, the exchange ends as `truncated`. */
   protected handleOverflow(): void {
     this.end('truncated');
--- a/packages/front/src/callers/FrontExchange.ts
+++ b/packages/front/src/callers/FrontExchange.ts
@@ -1,5 +1,6 @@
 import type * as http from 'node:http';
 
+import * as blockBuffer from '../links/BlockBuffer.js';
 import type * as byteBudget from '../links/ByteBudget.js';
 
 const NO_BODY_STATUSES = new Set([204, 304]);
@@ -18,9 +19,7 @@
 
 /** One HTTP request of a caller together with its response. */
 export class FrontExchange implements byteBudget.ByteHolder {
-  private chunks: Buffer[] = [];
-
-  private receivedBytes = 0;
+  private readonly body = new blockBuffer.BlockBuffer();
 
   private state: 'receiving' | 'received' = 'receiving';
 
@@ -35,23 +34,18 @@
   }
 
   /**
-   * Buffers a chunk of the request body, or returns `exceeded` if the body is longer than allowed.
+   * Buffers a chunk of the request body. Returns by how many bytes its memory has grown, or `exceeded` if the body is longer than allowed.
    * @param chunk - Chunk of the body.
    * @param limitBytes - Maximum length of the body.
    */
-  addChunk(chunk: Buffer, limitBytes: number): 'within' | 'exceeded' {
-    this.receivedBytes += chunk.length;
-    if (this.receivedBytes > limitBytes) return 'exceeded';
-    this.chunks.push(chunk);
-    return 'within';
+  addChunk(chunk: Buffer, limitBytes: number): number | 'exceeded' {
+    return this.body.getLength() + chunk.length > limitBytes ? 'exceeded' : this.body.add(chunk);
   }
 
-  /** Joins the chunks of the complete request body and returns it. */
+  /** Takes the complete request body. */
   takeBody(): Buffer {
     this.state = 'received';
-    const body = this.chunks.length === 1 ? this.chunks[0]! : Buffer.concat(this.chunks);
-    this.chunks = [];
-    return body;
+    return this.body.take();
   }
 
   /** Whether the body is incomplete. An instance may be working on a request whose body is complete. */
@@ -61,7 +55,7 @@
 
   /** Gives up the incomplete body; the request is refused. */
   evict(): void {
-    this.chunks = [];
+    this.body.clear();
     this.options.onEvict(this);
   }
 
--- a/packages/front/src/callers/FrontListener.ts
+++ b/packages/front/src/callers/FrontListener.ts
@@ -200,7 +200,8 @@
 
   private receiveChunk(exchange: frontExchange.FrontExchange, chunk: Buffer): void {
     if (!exchange.isOpen()) return;
-    if (exchange.addChunk(chunk, this.limits.bodyBytes) === 'exceeded') {
+    const grownBytes = exchange.addChunk(chunk, this.limits.bodyBytes);
+    if (grownBytes === 'exceeded') {
       this.endReceiving(exchange);
       this.sendResponse(exchange, 413, [], EMPTY_BODY, 'close');
       return;
@@ -209,7 +210,7 @@
     this.receiveTimer ??= this.options.timers.subscribe({
       mailbox: this, message: { type: 'receive-check-due' as const }, delayMs: LIMIT_CHECK_INTERVAL_MS,
     });
-    this.budget.add(exchange, chunk.length);
+    this.budget.add(exchange, grownBytes);
   }
 
   private endReceiving(exchange: frontExchange.FrontExchange): void {
--- a/packages/front/src/links/index.ts
+++ b/packages/front/src/links/index.ts
@@ -1,3 +1,4 @@
+export * from './BlockBuffer.js';
 export * from './EvidenceCodec.js';
 export * from './ByteBudget.js';
 export * from './AuxiliaryListener.js';
--- a/packages/front/src/upstreams/RoutedExchange.ts
+++ b/packages/front/src/upstreams/RoutedExchange.ts
@@ -36,8 +36,11 @@
   }
 
   protected override handleBodyChunk(chunk: Buffer): void {
-    this.routedOptions.budget.add(this, chunk.length);
+    const { reader, budget } = this.routedOptions;
+    const heldBytes = reader.getHeldBytes();
     super.handleBodyChunk(chunk);
+    const grownBytes = reader.getHeldBytes() - heldBytes;
+    if (grownBytes > 0 && this.isOpen()) budget.add(this, grownBytes);
   }
 
   protected override reportEnding(ending: entry.upstreams.ExchangeEnding): void {
--- a/packages/front/src/upstreams/RoutedResponseReader.ts
+++ b/packages/front/src/upstreams/RoutedResponseReader.ts
@@ -1,6 +1,7 @@
 import * as entry from '@tamarackferry/entry';
 import type * as gateway from '@tamarackferry/gateway';
 
+import * as blockBuffer from '../links/BlockBuffer.js';
 import type * as upstreamDialect from './UpstreamDialect.js';
 
 // Responses are buffered until they are complete. All of them together are limited by the budget of `RoutedConnections`.
@@ -23,9 +24,9 @@
 
   private metadata: upstreamDialect.ResponseMetadata | undefined;
 
-  private readonly chunks: Buffer[] = [];
+  private readonly body = new blockBuffer.BlockBuffer();
 
-  private receivedBytes = 0;
+  private heldBytes = 0;
 
   private declaredBytes: number | undefined;
 
@@ -60,13 +61,17 @@
   }
 
   override readBodyChunk(chunk: Buffer): 'buffered' | 'overflowed' {
-    this.receivedBytes += chunk.length;
-    this.chunks.push(chunk);
-    return this.receivedBytes > MAX_RESPONSE_BYTES ? 'overflowed' : 'buffered';
+    this.heldBytes += this.body.add(chunk);
+    return this.body.getLength() > MAX_RESPONSE_BYTES ? 'overflowed' : 'buffered';
+  }
+
+  /** Gets the memory that the body holds, in bytes. */
+  getHeldBytes(): number {
+    return this.heldBytes;
   }
 
   override isComplete(): boolean {
-    return this.hasHeaders() && (this.declaredBytes === undefined || this.declaredBytes === this.receivedBytes || this.status === 304);
+    return this.hasHeaders() && (this.declaredBytes === undefined || this.declaredBytes === this.body.getLength() || this.status === 304);
   }
 
   override isConnectionReusable(): boolean {
@@ -87,7 +92,7 @@
       answer: {
         status: this.status,
         headers: entry.links.HeaderFilter.filterRawHeaders(this.rawFields, NO_EXCLUDED_HEADERS),
-        body: this.chunks.length === 1 ? this.chunks[0]! : Buffer.concat(this.chunks),
+        body: this.body.take(),
       },
     };
   }
