Write answers to their end when a planned stop closes the listener

That the users' own runs had this cause is only suspected, since they kept no logs.

Cause: http.Server.close and closeIdleConnections of Node.js take a connection for idle once its request is complete and the answer was passed on, also if the answer still waits to be written, and destroy it.

Ruled out as the cause: the early exit of the process, which follows from the closed connections; the test cuts the answer without it.

Change: the listener only stops listening. Kept connections remain until the process ends; each answer during the stop closes its own.

Tests that failed before: FrontListener, 'writes an answer to its end although the listener is closed meanwhile' (3,919,872 of 16,000,000 bytes received) and 'serves a kept connection after the listener is closed, and opens no new one'.

--- a/packages/front/src/callers/FrontListener.ts
+++ b/packages/front/src/callers/FrontListener.ts
@@ -1,5 +1,5 @@
 import * as http from 'node:http';
-import type * as net from 'node:net';
+import * as net from 'node:net';
 import * as core from '@tamarackferry/core';
 import * as entry from '@tamarackferry/entry';
 import type * as gateway from '@tamarackferry/gateway';
@@ -121,8 +121,9 @@
         this.refuseOverdue();
         break;
       case 'close-listener':
-        this.server.close();
-        this.server.closeIdleConnections();
+        // Only stops listening. The method of the HTTP server also closes connections that it takes for idle, which includes those on which
+        // an answer is still being written. Kept connections remain until the process ends.
+        net.Server.prototype.close.call(this.server);
         break;
       // no default
     }
--- a/packages/front/test/callers/FrontListener.test.ts
+++ b/packages/front/test/callers/FrontListener.test.ts
@@ -8,6 +8,9 @@
 
 const BUFFER_BYTES = 1_000_000;
 
+// More than the buffers of both sockets hold.
+const LONG_ANSWER_BYTES = 16_000_000;
+
 /** Listener under test, with a record of the messages that it posts. */
 class TestListener {
   readonly messages: gateway.callers.RoutedRequestMessage[] = [];
@@ -190,10 +193,37 @@
     caller.socket.pause();
     caller.socket.write(buildRequest('r1'));
     await vitest.vi.waitFor(() => vitest.expect(tested.listArrivals()).toHaveLength(1));
-    // More than the buffers of both sockets hold.
-    tested.answer(tested.listArrivals()[0]!.requestId, 'x'.repeat(16_000_000));
+    tested.answer(tested.listArrivals()[0]!.requestId, 'x'.repeat(LONG_ANSWER_BYTES));
+    vitest.expect(tested.listener.countOpenRequests()).toBe(1);
+    caller.socket.resume();
+    await vitest.vi.waitFor(() => vitest.expect(tested.listener.countOpenRequests()).toBe(0), 5_000);
+  });
+
+  // Guards against a planned stop that cuts answers which slow callers are still receiving.
+  vitest.it('writes an answer to its end although the listener is closed meanwhile', async () => {
+    caller.socket.pause();
+    caller.socket.write(buildRequest('r1'));
+    await vitest.vi.waitFor(() => vitest.expect(tested.listArrivals()).toHaveLength(1));
+    tested.listener.post({ type: 'drain' });
+    tested.answer(tested.listArrivals()[0]!.requestId, 'x'.repeat(LONG_ANSWER_BYTES));
+    tested.listener.post({ type: 'close-listener' });
     vitest.expect(tested.listener.countOpenRequests()).toBe(1);
     caller.socket.resume();
     await vitest.vi.waitFor(() => vitest.expect(tested.listener.countOpenRequests()).toBe(0), 5_000);
+    await vitest.vi.waitFor(() => vitest.expect(caller.received.length).toBeGreaterThan(LONG_ANSWER_BYTES), 5_000);
+  });
+
+  vitest.it('serves a kept connection after the listener is closed, and opens no new one', async () => {
+    caller.socket.write(buildRequest('r1'));
+    await vitest.vi.waitFor(() => vitest.expect(tested.listArrivals()).toHaveLength(1));
+    tested.answer(tested.listArrivals()[0]!.requestId, 'first');
+    await vitest.vi.waitFor(() => vitest.expect(caller.received).toContain('first'));
+    tested.listener.post({ type: 'drain' });
+    tested.listener.post({ type: 'close-listener' });
+    caller.socket.write(buildRequest('r2'));
+    await vitest.vi.waitFor(() => vitest.expect(tested.listArrivals()).toHaveLength(2));
+    tested.answer(tested.listArrivals()[1]!.requestId, 'second');
+    await vitest.vi.waitFor(() => vitest.expect(caller.received).toMatch(/connection: close[^]*second/i));
+    await vitest.expect(testCaller.TestCaller.connect(tested.getPort())).rejects.toMatchObject({ code: 'ECONNREFUSED' });
   });
 });
--- a/packages/front/test/callers/TestCaller.ts
+++ b/packages/front/test/callers/TestCaller.ts
@@ -16,8 +16,9 @@
    * @param port - Port of the listener.
    */
   static connect(port: number): Promise<TestCaller> {
-    return new Promise((resolve) => {
+    return new Promise((resolve, reject) => {
       const socket = net.connect(port, '127.0.0.1', () => resolve(new TestCaller(socket)));
+      socket.once('error', reject);
     });
   }
 }
