Keep retries within the budget in any sliding window, summed over all VMs

Cause: RetryBudget counted in buckets of a second and dropped a bucket when its first millisecond was ten seconds old, so that its window was 9 to 10 s long; it checked only the window that ends with the retry; and a VM that takes over or starts again spent a share of its own.

Evidence, from a test that is written from the rule (six VMs, full share): 504 retries in 10 s with 1,200 requests, 264 allowed, for spells at both ends of a window; 256 with 1,000 requests, 224 allowed, when requests and failures move from VM to VM. The old property test checked windows that begin at whole buckets, the assumption of the code.

Change: a token bucket with three tenths of the ratio, which begins with one retry, and saved retries bound to the requests of the window that began half a window earlier, for all windows that contain the retry. Each part is bound to the same windows at all VMs, so their sums are. Hedges use what is saved up first.

Tests that failed before: RetryBudget, 'with spells at its ends' and 'when requests and failures move from VM to VM'.

--- a/packages/gateway/src/callers/RetryBudget.ts
+++ b/packages/gateway/src/callers/RetryBudget.ts
@@ -1,5 +1,8 @@
-// Width of the buckets in which requests and retries are counted: one second, for a window of ten seconds.
-const BUCKET_MS = 1_000;
+import * as savedRetries from './SavedRetries.js';
+import * as steadyRetries from './SteadyRetries.js';
+
+// Part of the ratio that `SteadyRetries` uses; `SavedRetries` has the rest.
+const STEADY_SHARE = 0.3;
 
 /** Options of a `RetryBudget`. */
 export interface RetryBudgetOptions {
@@ -11,25 +14,33 @@
   readonly windowMs: number;
 }
 
-interface Bucket {
-  readonly startMs: number;
-  requests: number;
-  retries: number;
-}
+/** Why a request is sent again: its attempt has failed, or it has no answer yet. */
+export type RetryPurpose = 'retry' | 'hedge';
 
-/** Limits the retries, including hedged attempts, that a VM sends to a service in any sliding window. */
+/**
+ * Limits the retries, including hedged attempts, that a VM sends to a service. In any window, all VMs together send at most
+ * `ratio` x requests + the sum of their slacks, where the requests of all VMs are counted in that window or in the one that began half a
+ * window earlier, whichever has more. That also holds if requests and failures move from VM to VM, since each part of the budget is bound
+ * to the requests of one and the same window at all VMs.
+ */
 export class RetryBudget {
-  private readonly buckets: Bucket[] = [];
+  private readonly steady: steadyRetries.SteadyRetries;
+
+  private readonly saved: savedRetries.SavedRetries;
 
   /** @param options - Limits for this VM. */
-  constructor(private options: RetryBudgetOptions) {}
+  constructor(options: RetryBudgetOptions) {
+    this.steady = new steadyRetries.SteadyRetries(RetryBudget.buildSteadyOptions(options));
+    this.saved = new savedRetries.SavedRetries(RetryBudget.buildSavedOptions(options));
+  }
 
   /**
    * Applies changed limits. Requests and retries that were counted before still count.
    * @param options - Limits for this VM.
    */
   applyOptions(options: RetryBudgetOptions): void {
-    this.options = options;
+    this.steady.applyOptions(RetryBudget.buildSteadyOptions(options));
+    this.saved.applyOptions(RetryBudget.buildSavedOptions(options));
   }
 
   /**
@@ -37,29 +48,26 @@
    * @param nowMs - Current time.
    */
   addRequest(nowMs: number): void {
-    this.getBucket(nowMs).requests += 1;
+    this.steady.addRequest(nowMs);
+    this.saved.addRequest(nowMs);
   }
 
   /**
    * Consumes one retry of the budget. Returns false, and consumes nothing, if the budget is exhausted.
    * @param nowMs - Current time.
+   * @param purpose - A hedge leaves what can be used at any time to retries, without which requests are refused.
    */
-  take(nowMs: number): boolean {
-    const bucket = this.getBucket(nowMs);
-    const requests = this.buckets.reduce((sum, counted) => sum + counted.requests, 0);
-    const retries = this.buckets.reduce((sum, counted) => sum + counted.retries, 0);
-    if (retries + 1 > requests * this.options.ratio + this.options.slack) return false;
-    bucket.retries += 1;
-    return true;
+  take(nowMs: number, purpose: RetryPurpose = 'retry'): boolean {
+    return purpose === 'retry'
+      ? this.steady.take() || this.saved.take(nowMs)
+      : this.saved.take(nowMs) || this.steady.take();
+  }
+
+  private static buildSteadyOptions({ ratio, slack, windowMs }: RetryBudgetOptions): steadyRetries.SteadyRetriesOptions {
+    return { ratio: ratio * STEADY_SHARE, most: slack, windowMs };
   }
 
-  private getBucket(nowMs: number): Bucket {
-    const startMs = Math.floor(nowMs / BUCKET_MS) * BUCKET_MS;
-    const latest = this.buckets[this.buckets.length - 1];
-    if (latest?.startMs === startMs) return latest;
-    while (this.buckets[0] !== undefined && this.buckets[0].startMs <= startMs - this.options.windowMs) this.buckets.shift();
-    const created: Bucket = { startMs, requests: 0, retries: 0 };
-    this.buckets.push(created);
-    return created;
+  private static buildSavedOptions({ ratio, windowMs }: RetryBudgetOptions): savedRetries.SavedRetriesOptions {
+    return { ratio: ratio * (1 - STEADY_SHARE), windowMs };
   }
 }
--- a/packages/gateway/src/callers/RoutedRequestTask.ts
+++ b/packages/gateway/src/callers/RoutedRequestTask.ts
@@ -310,7 +310,7 @@
     if (request === undefined || request.state !== 'sent') return;
     // A hedged attempt would occupy a slot that a waiting request needs.
     if (this.services.getService(request.options.service).queue.countWaiting() > 0) this.subscribe(request, 'hedge-due', QUEUE_CHECK_INTERVAL_MS);
-    else this.retryRequest(request);
+    else this.retryRequest(request, 'hedge');
   }
 
   private handleAttemptEnd(attemptId: string, ending: attemptEnding.AttemptEnding): void {
@@ -378,14 +378,14 @@
   }
 
   // Sends the request to another instance if its route, the remaining time and the retry budget permit.
-  private retryRequest(request: routedRequest.RoutedRequest): boolean {
+  private retryRequest(request: routedRequest.RoutedRequest, purpose: retryBudget.RetryPurpose = 'retry'): boolean {
     const nowMs = this.options.timers.getNowMs();
     if (!waitingPolicy.WaitingPolicy.canRetry(request, nowMs)) return false;
     const serviceEntry = this.services.getService(request.options.service);
     // A retry takes no place in a queue of an instance before the requests that wait for their first attempt.
     const urgency = serviceEntry.queue.countWaiting() > 0 ? 'normal' : undefined;
     const chosen = waitingPolicy.WaitingPolicy.chooseInstance(request, serviceEntry, nowMs, urgency);
-    if (chosen === undefined || !serviceEntry.budget.take(nowMs)) return false;
+    if (chosen === undefined || !serviceEntry.budget.take(nowMs, purpose)) return false;
     this.sendTo(chosen, request, serviceEntry);
     return true;
   }
