Count answers towards the memory budget until they are written

Cause: an answer was released from the budget when it was complete, while it still waited behind an earlier one on its connection, or for a caller that reads slowly.

Change: one budget counts answers from their first byte until they are on the wire. Answers that are ready are kept; the longest one that is still being received is given up, and its request sent again if it may be repeated. Answers of less than 64 KiB always get through.

Test that failed before: FrontListener, 'counts answers until they are written' (there was nothing to count them).

--- a/packages/front/src/callers/FrontListener.ts
+++ b/packages/front/src/callers/FrontListener.ts
@@ -40,6 +40,8 @@
    * refused with a time to come back. A body stays buffered until its request ends.
    */
   readonly bufferBytes: number;
+  /** Limit on the answers that are received or wait to be written, of all requests together. */
+  readonly answerBudget: byteBudget.ByteBudget;
   /** Called for each event to be logged and counted. */
   readonly onEvent: (event: string, fields: gateway.callers.LogFields) => void;
 }
@@ -146,8 +148,14 @@
     const connection = this.connections.get(exchange.getRequest().socket);
     if (connection === undefined || !exchange.isOpen()) return;
     const { response } = exchange.options;
+    // An answer is held until the caller has read it, and those before it on the connection. It is ready, so it is not given up.
+    const holder: byteBudget.ByteHolder = { isEvictable: () => false, evict: () => undefined };
     this.unwritten.add(response);
-    response.once('close', () => this.unwritten.delete(response));
+    this.options.answerBudget.add(holder, body.byteLength);
+    response.once('close', () => {
+      this.unwritten.delete(response);
+      this.options.answerBudget.release(holder);
+    });
     exchange.send(status, headers, body, connection.decideAfter(exchange, wanted));
   }
 
--- a/packages/front/src/links/ByteBudget.ts
+++ b/packages/front/src/links/ByteBudget.ts
@@ -1,3 +1,6 @@
+// A holder with less is not evicted: it gains little, and short answers must get through while long ones fill the budget.
+const MIN_EVICTED_BYTES = 65_536;
+
 /** Holder of buffered data that counts towards a `ByteBudget`. */
 export interface ByteHolder {
   /** Whether the data can be given up now. */
@@ -50,7 +53,7 @@
 
   private findLargest(): ByteHolder | undefined {
     return [...this.holders].reduce<readonly [ByteHolder, number] | undefined>(
-      (largest, entry) => (entry[0].isEvictable() && (largest === undefined || entry[1] > largest[1]) ? entry : largest),
+      (largest, entry) => (entry[0].isEvictable() && entry[1] >= (largest?.[1] ?? MIN_EVICTED_BYTES) ? entry : largest),
       undefined,
     )?.[0];
   }
--- a/packages/front/src/upstreams/RoutedConnections.ts
+++ b/packages/front/src/upstreams/RoutedConnections.ts
@@ -3,7 +3,7 @@
 import type * as gateway from '@tamarackferry/gateway';
 import type * as undici from 'undici';
 
-import * as byteBudget from '../links/ByteBudget.js';
+import type * as byteBudget from '../links/ByteBudget.js';
 import * as routedExchange from './RoutedExchange.js';
 import * as routedResponseReader from './RoutedResponseReader.js';
 import type * as upstreamDialect from './UpstreamDialect.js';
@@ -34,8 +34,8 @@
   readonly dialect: upstreamDialect.UpstreamDialect;
   /** Task that receives the results of the attempts. */
   readonly requestTask: core.tasks.Mailbox<gateway.callers.RoutedRequestMessage>;
-  /** Maximum length of the response data that is buffered for all attempts together. */
-  readonly bufferBytes: number;
+  /** Limit on the answers that are received or wait to be written, of all requests together. */
+  readonly answerBudget: byteBudget.ByteBudget;
 }
 
 /** Owns the connections to instances and sends attempts over them. A connection carries one attempt at a time. */
@@ -44,12 +44,9 @@
 
   private readonly exchanges = new Map<string, routedExchange.RoutedExchange>();
 
-  private readonly budget: byteBudget.ByteBudget;
-
   /** @param options - Options of the connections. */
   constructor(private readonly options: RoutedConnectionsOptions) {
     super(options.scheduler);
-    this.budget = new byteBudget.ByteBudget(options.bufferBytes);
   }
 
   /** Counts the open connections. */
@@ -88,7 +85,7 @@
       timeoutMs: Math.min(CONNECT_TIMEOUT_MS, attempt.deadlineMs),
       timers,
       owner: this,
-      budget: this.budget,
+      budget: this.options.answerBudget,
       request: {
         method: request.method as undici.Dispatcher.HttpMethod,
         path: request.path,
--- a/packages/front/src/vms/FrontProcess.ts
+++ b/packages/front/src/vms/FrontProcess.ts
@@ -40,9 +40,9 @@
 // their counting windows overlap only in part; the margin keeps the sum within the budget.
 const RETRY_BUDGET_SHARE = 0.9;
 
-// Shares of the memory of the process for the bodies of requests and of responses. The runtime and the code need up to half of it.
+// Shares of the memory of the process for the bodies of requests and for answers. The runtime and the code need the rest.
 const BODY_MEMORY_SHARE = 0.2;
-const RESPONSE_MEMORY_SHARE = 0.125;
+const ANSWER_MEMORY_SHARE = 0.3;
 
 // Settings that a running process can apply. The others, such as addresses and the identity of the VM, are fixed at its start.
 const RELOADABLE_FIELDS = [
@@ -143,8 +143,9 @@
       frontsPerPlace: FRONTS_PER_PLACE,
       validityMs: FrontProcess.computeValidityMs(settings),
     });
+    const answerBudget = new links.ByteBudget(settings.memoryBytes * ANSWER_MEMORY_SHARE);
     this.connections = new upstreams.RoutedConnections({
-      scheduler, timers, dialect: adapter.upstreams, requestTask: this.requests, bufferBytes: settings.memoryBytes * RESPONSE_MEMORY_SHARE,
+      scheduler, timers, dialect: adapter.upstreams, requestTask: this.requests, answerBudget,
     });
     this.listener = new callers.FrontListener({
       ...settings.callers,
@@ -153,6 +154,7 @@
       dialect: adapter.callers,
       requestTask: this.requests,
       bufferBytes: settings.memoryBytes * BODY_MEMORY_SHARE,
+      answerBudget,
       onEvent,
     });
     this.heartbeats = new links.HeartbeatSocket({
--- a/packages/front/test/callers/FrontListener.test.ts
+++ b/packages/front/test/callers/FrontListener.test.ts
@@ -15,6 +15,8 @@
 class TestListener {
   readonly messages: gateway.callers.RoutedRequestMessage[] = [];
 
+  readonly answerBudget = new front.links.ByteBudget(BUFFER_BYTES);
+
   readonly listener = new front.callers.FrontListener({
     host: '127.0.0.1',
     port: 0,
@@ -23,6 +25,7 @@
     dialect: new testCallerDialect.TestCallerDialect(),
     requestTask: { post: (message) => this.messages.push(message) },
     bufferBytes: BUFFER_BYTES,
+    answerBudget: this.answerBudget,
     onEvent: () => undefined,
   });
 
@@ -226,4 +229,16 @@
     await vitest.vi.waitFor(() => vitest.expect(caller.received).toMatch(/connection: close[^]*second/i));
     await vitest.expect(testCaller.TestCaller.connect(tested.getPort())).rejects.toMatchObject({ code: 'ECONNREFUSED' });
   });
+
+  // Guards against the end of the process by answers that wait behind others, or for callers that read slowly.
+  vitest.it('counts answers until they are written, also those behind others on a pipelined connection', async () => {
+    caller.socket.write(buildRequest('r1') + buildRequest('r2'));
+    await vitest.vi.waitFor(() => vitest.expect(tested.listArrivals()).toHaveLength(2));
+    const [first, second] = tested.listArrivals();
+    tested.answer(second!.requestId, 'x'.repeat(50_000));
+    await vitest.vi.waitFor(() => vitest.expect(tested.answerBudget.getHeldBytes()).toBe(50_000));
+    tested.answer(first!.requestId, 'first');
+    await vitest.vi.waitFor(() => vitest.expect(caller.received.length).toBeGreaterThan(50_000));
+    await vitest.vi.waitFor(() => vitest.expect(tested.answerBudget.getHeldBytes()).toBe(0));
+  });
 });
--- a/packages/front/test/upstreams/RoutedConnections.test.ts
+++ b/packages/front/test/upstreams/RoutedConnections.test.ts
@@ -24,7 +24,7 @@
     scheduler: new core.tasks.TaskScheduler(),
     timers: new core.time.SystemTimerService(),
     dialect: new testUpstreamDialect.TestUpstreamDialect(),
-    bufferBytes: BUFFER_BYTES,
+    answerBudget: new front.links.ByteBudget(BUFFER_BYTES),
     requestTask: {
       post: (message) => {
         if (message.type === 'attempt-ended') this.resolvers.get(message.attemptId)?.(message.ending);
