Count heads and trailers without end towards the memory budget

Report of other operators: bytes without end from a faulty instance took the memory of the machine that had called it.

Cause: the parser keeps the fields of a head or of trailers until their end, up to 3 MB for the shortest fields, and nothing counted them. One connection is limited by the parser, many at once are not.

Ruled out: chunk extensions (1.8 MB for 50), interim answers (0.1 MB), one long field (4.6 MB).

Change: a connection reports the bytes that it has read for its exchange; those that are no body count at what the parser holds.

Test that failed before: RoutedConnections, 'holds no more memory than the budget for many answers with endless short fields in their head'.

--- a/packages/entry/src/upstreams/Exchange.ts
+++ b/packages/entry/src/upstreams/Exchange.ts
@@ -72,6 +72,8 @@
       },
       onResponseEnd: () => this.end(this.isResponseComplete() ? 'complete' : 'truncated'),
       onResponseError: () => this.end(this.computeErrorEnding()),
+    }, (bytes) => {
+      if (this.state === 'open') this.handleRead(bytes);
     });
   }
 
@@ -101,6 +103,15 @@
     this.end('truncated');
   }
 
+  /**
+   * Handles that bytes were read and parsed, of the response and all that surrounds it. By default, nothing happens.
+   * @param _bytes - Number of bytes that were read for this exchange so far.
+   */
+
+  protected handleRead(_bytes: number): void {
+    // Nothing to do.
+  }
+
   /**
    * Passes a chunk of the body to the reader.
    * @param chunk - Chunk of the body.
--- a/packages/entry/src/upstreams/UpstreamConnection.ts
+++ b/packages/entry/src/upstreams/UpstreamConnection.ts
@@ -20,6 +20,13 @@
 
   private state: 'idle' | 'busy' | 'closed' = 'idle';
 
+  private socket: net.Socket | undefined;
+
+  // Bytes that were read before the request in progress.
+  private earlierBytes = 0;
+
+  private onRead: (bytes: number) => void = () => undefined;
+
   // `failed`: the current socket ended with an error.
   private socketState: 'ok' | 'failed' = 'ok';
 
@@ -31,6 +38,8 @@
       connect: (target, callback) => connect(target, (...result) => {
         if (result[0] === null) this.watchSocket(result[1]);
         callback(...result);
+        // After the listener of undici, so that what has been read is parsed.
+        if (result[0] === null) this.countReads(result[1]);
       }),
       keepAliveTimeout: options.idleTimeoutMs,
       keepAliveMaxTimeout: options.maxIdleTimeoutMs ?? options.idleTimeoutMs,
@@ -47,9 +56,16 @@
    * Sends one request over the connection.
    * @param request - Request to send.
    * @param handler - Receives the response.
+   * @param onRead - Called with the number of bytes that were read so far, of the response and all that surrounds it.
    */
-  dispatch(request: undici.Dispatcher.DispatchOptions, handler: undici.Dispatcher.DispatchHandler): void {
+  dispatch(
+    request: undici.Dispatcher.DispatchOptions,
+    handler: undici.Dispatcher.DispatchHandler,
+    onRead: (bytes: number) => void = () => undefined,
+  ): void {
     this.state = 'busy';
+    this.earlierBytes = this.socket?.bytesRead ?? 0;
+    this.onRead = onRead;
     this.client.dispatch(request, handler);
   }
 
@@ -70,6 +86,14 @@
     return this.client.destroy().catch(() => undefined);
   }
 
+  private countReads(socket: net.Socket): void {
+    this.socket = socket;
+    this.earlierBytes = 0;
+    socket.on('readable', () => {
+      if (this.state === 'busy' && this.socket === socket) this.onRead(socket.bytesRead - this.earlierBytes);
+    });
+  }
+
   // undici treats a connection reset as the end of a response without a length. This listener is added before that of undici, so the state
   // is already set when undici reports the end of the response.
   private watchSocket(socket: net.Socket): void {
--- a/packages/front/src/upstreams/RoutedExchange.ts
+++ b/packages/front/src/upstreams/RoutedExchange.ts
@@ -4,6 +4,13 @@
 import type * as byteBudget from '../links/ByteBudget.js';
 import type * as routedResponseReader from './RoutedResponseReader.js';
 
+// Memory that the parser holds for each byte of header fields and trailers, if the fields are as short as possible.
+const COST_PER_FIELD_BYTE = 50;
+
+// Bytes besides the body that cost nothing extra, and those from which on the parser fails.
+const USUAL_FIELD_BYTES = 4_096;
+const MAX_FIELD_BYTES = 81_920;
+
 /** Options of a `RoutedExchange`. `timeoutMs` limits the time until the request is written. */
 export interface RoutedExchangeOptions extends entry.upstreams.ExchangeOptions {
   readonly reader: routedResponseReader.RoutedResponseReader;
@@ -15,6 +22,8 @@
 
 /** One attempt of a routed request on a connection to an instance. */
 export class RoutedExchange extends entry.upstreams.Exchange implements byteBudget.ByteHolder {
+  private countedFieldBytes = 0;
+
   /** @param routedOptions - Options of the exchange. */
   constructor(private readonly routedOptions: RoutedExchangeOptions) {
     super(routedOptions);
@@ -35,6 +44,16 @@
     this.end('truncated');
   }
 
+  // Heads and trailers that do not end are held by the parser, so they count as well.
+  protected override handleRead(bytes: number): void {
+    const { reader, budget } = this.routedOptions;
+    const fieldBytes = Math.min(MAX_FIELD_BYTES, bytes - reader.getBodyLength());
+    if (fieldBytes <= Math.max(USUAL_FIELD_BYTES, this.countedFieldBytes)) return;
+    const grownBytes = fieldBytes - this.countedFieldBytes;
+    this.countedFieldBytes = fieldBytes;
+    budget.add(this, grownBytes * COST_PER_FIELD_BYTE);
+  }
+
   protected override handleBodyChunk(chunk: Buffer): void {
     const { reader, budget } = this.routedOptions;
     const heldBytes = reader.getHeldBytes();
--- a/packages/front/src/upstreams/RoutedResponseReader.ts
+++ b/packages/front/src/upstreams/RoutedResponseReader.ts
@@ -65,6 +65,11 @@
     return this.body.getLength() > MAX_RESPONSE_BYTES ? 'overflowed' : 'buffered';
   }
 
+  /** Gets the length of the body so far. */
+  getBodyLength(): number {
+    return this.body.getLength();
+  }
+
   /** Gets the memory that the body holds, in bytes. */
   getHeldBytes(): number {
     return this.heldBytes;
--- a/packages/front/test/upstreams/RoutedConnections.test.ts
+++ b/packages/front/test/upstreams/RoutedConnections.test.ts
@@ -4,6 +4,7 @@
 import type * as gateway from '@tamarackferry/gateway';
 import * as vitest from 'vitest';
 
+import * as heapMeter from '../HeapMeter.js';
 import * as testUpstreamDialect from '../TestUpstreamDialect.js';
 import * as rawInstance from './RawInstance.js';
 
@@ -12,6 +13,10 @@
 
 const BUFFER_BYTES = 1_000_000;
 
+// Connections on which instances send without end, and fields that they send, which the parser accepts.
+const PEERS = 50;
+const SHORT_FIELDS = 15_000;
+
 type Ending = gateway.upstreams.AttemptEnding;
 
 /** Connections under test, with the results of their attempts. */
@@ -50,7 +55,7 @@
         id: 'i1', service: 's1', host: '127.0.0.1', port, place: 'p1', slots: 4, state: 'ready', warmupMs: 0, startedAtMs: 1,
       },
       deadlineMs: 5_000,
-      connectionLimit: 10,
+      connectionLimit: 2 * PEERS,
     });
     return new Promise((resolve) => {
       this.resolvers.set(attemptId, resolve);
@@ -257,6 +262,37 @@
     await vitest.vi.waitFor(() => vitest.expect(closed).toBe(true));
   });
 
+  // Guards against the end of the process by instances that send heads or trailers without end on many connections at once.
+  vitest.it.each([
+    ['head', () => 'HTTP/1.1 200 OK\r\n'],
+    ['trailers', (id: string) => `HTTP/1.1 200 OK\r\nrequest-id: ${id}\r\nseal: 1\r\ntransfer-encoding: chunked\r\n\r\n0\r\n`],
+  ] as const)('holds no more memory than the budget for many answers with endless short fields in their %s', async (_, buildStart) => {
+    let peakBytes = 0;
+    let waiting = PEERS;
+    const meter = new heapMeter.HeapMeter();
+    const port = await startInstance((socket, id) => {
+      if (id === 'sound') {
+        socket.write(`HTTP/1.1 200 OK\r\nrequest-id: ${id}\r\nseal: 1\r\ncontent-length: 2\r\n\r\nok`);
+        return;
+      }
+      // The fields of all answers come close to the limit of the parser, and then stop.
+      socket.write(`${buildStart(id)}${'a:\r\n'.repeat(SHORT_FIELDS)}`, () => {
+        waiting -= 1;
+      });
+    });
+    const before = meter.measureBytes();
+    const endings = Array.from({ length: PEERS }, (__, index) => tested.sendAttempt(port, `q${index}`));
+    const sound = tested.sendAttempt(port, 'sound');
+    await vitest.vi.waitFor(() => {
+      peakBytes = Math.max(peakBytes, meter.measureBytes() - before);
+      vitest.expect(waiting).toBe(0);
+    }, { timeout: 10_000, interval: 100 });
+    vitest.expect(peakBytes).toBeLessThanOrEqual(10 * BUFFER_BYTES);
+    vitest.expect(await sound).toMatchObject({ type: 'answered' });
+    instance?.close();
+    await Promise.all(endings);
+  });
+
   vitest.it('breaks off the longest response, not another one, when all of them exceed the budget', async () => {
     const port = await startInstance((socket, id) => {
       if (id === 'small') {
