Send nothing to targets of a split with the weight 0

Cause: the random start position was added to the first target of the split, whatever its weight.

Change: targets with the weight 0 take no part.

Test that failed before: TrafficSplit, 'sends nothing to a target with the weight 0', start position 0.99.

--- a/packages/gateway/src/contracts/TrafficSplit.ts
+++ b/packages/gateway/src/contracts/TrafficSplit.ts
@@ -13,8 +13,10 @@
 
   /** @param targets - Targets of the route. */
   constructor(targets: readonly route.RouteTarget[]) {
-    this.totalWeight = targets.reduce((sum, target) => sum + target.weight, 0);
-    this.weightedTargets = targets.map((target) => ({ target, currentWeight: 0 }));
+    // A target with the weight 0 gets nothing, also at a random point of the cycle.
+    const used = targets.filter((target) => target.weight > 0);
+    this.totalWeight = used.reduce((sum, target) => sum + target.weight, 0);
+    this.weightedTargets = used.map((target) => ({ target, currentWeight: 0 }));
   }
 
   /**
--- a/packages/gateway/test/contracts/RouteTable.test.ts
+++ b/packages/gateway/test/contracts/RouteTable.test.ts
@@ -35,4 +35,13 @@
   vitest.it('chooses no service if a route has no target', () => {
     vitest.expect(new gateway.contracts.TrafficSplit([]).chooseService()).toBeUndefined();
   });
+
+  // Guards against requests to a service that a configuration has taken out of a split.
+  vitest.it.each([0, 0.4, 0.99])('sends nothing to a target with the weight 0, whatever the start position (%f)', (fraction) => {
+    const split = new gateway.contracts.TrafficSplit([{ service: 'out', weight: 0 }, { service: 'a', weight: 3 }, { service: 'b', weight: 1 }]);
+    split.advance(fraction);
+    const chosen = Array.from({ length: 8 }, () => split.chooseService());
+    vitest.expect(chosen.filter((service) => service === 'a')).toHaveLength(6);
+    vitest.expect(chosen).not.toContain('out');
+  });
 });
