Drop retained instances in time when a timer fires early

What callers saw: nothing yet. An instance that is retained after an outage was in use for up to a second longer, because the timer at the end of the retention fired up to a millisecond early and the next check came a second later; the same if another VM's report changed the end.

Cause: as for the check for silent watchers, a timer was taken to fire no earlier than planned.

Change: the retention has a check of its own, which is scheduled again as long as instances are retained. A follower schedules the check for silent watchers also when it takes on that role.

Test that failed before: CatalogTask, 'retains instances that are missing after an outage until they have had time to come back, with timers that fire early'.

--- a/packages/gateway/src/contracts/CatalogMessage.ts
+++ b/packages/gateway/src/contracts/CatalogMessage.ts
@@ -47,7 +47,8 @@
   | { readonly type: 'update-requested'; readonly afterRevision: number; readonly replyTo: core.tasks.Mailbox<CatalogUpdate> }
   | { readonly type: 'read-due' }
   | { readonly type: 'check' }
-  | { readonly type: 'silence-check-due' };
+  | { readonly type: 'silence-check-due' }
+  | { readonly type: 'retention-check-due' };
 
 /** Message from the `CatalogTask` to the task that owns the connection to the store, or to the one that owns those to other VMs. */
 export type CatalogOutput =
--- a/packages/gateway/src/contracts/CatalogTask.ts
+++ b/packages/gateway/src/contracts/CatalogTask.ts
@@ -43,6 +43,9 @@
 // A follower whose watchers have lost the store reads it itself for this time before it relies on them again.
 const DIRECT_READ_SPAN_MS = 6_000;
 
+// Timers may fire this much too early.
+const EARLY_TIMER_MS = 1;
+
 type PeerNews = Extract<catalogMessage.CatalogMessage, { type: 'peer-revision-received' }>;
 
 /** Options of a `CatalogTask`. */
@@ -152,6 +155,7 @@
       case 'role-chosen':
         this.role = message.role;
         this.readIfNeeded();
+        this.scheduleSilenceCheck();
         break;
       case 'snapshot-read':
         this.handleStoreReached();
@@ -190,6 +194,9 @@
       case 'check':
         this.checkAge();
         break;
+      case 'retention-check-due':
+        this.checkRetention();
+        break;
       case 'silence-check-due':
         // Timers may fire a little early; then the check is scheduled again.
         this.silenceCheck = 'none';
@@ -356,8 +363,20 @@
     this.log('instances-changed', {
       count: inUse.length, draining: inUse.filter((record) => record.state === 'draining').length, revision: this.catalog.getRevision(), source,
     });
-    if (retention === undefined || !this.retained.hasRetained()) return;
-    this.options.timers.subscribe({ mailbox: this, message: { type: 'check' as const }, delayMs: retention.untilMs - nowMs });
+    this.checkRetention();
+  }
+
+  // Drops the retained instances at the end of the retention, which may change when other VMs report the same outage.
+  private checkRetention(): void {
+    if (!this.retained.hasRetained()) return;
+    const nowMs = this.options.timers.getNowMs();
+    const retention = this.contact.getRetention(nowMs);
+    if (retention === undefined) {
+      this.publishInstances('lapse');
+      return;
+    }
+    const delayMs = retention.untilMs - nowMs + EARLY_TIMER_MS;
+    this.options.timers.subscribe({ mailbox: this, message: { type: 'retention-check-due' as const }, delayMs });
   }
 
   private recordConfirmation(confirmedAtMs: number): void {
@@ -371,7 +390,6 @@
 
   private checkAge(): void {
     this.announceState();
-    if (this.retained.hasRetained() && this.contact.getRetention(this.options.timers.getNowMs()) === undefined) this.publishInstances('lapse');
     this.readIfNeeded();
     this.scheduleSilenceCheck();
   }
--- a/packages/gateway/test/contracts/CatalogTask.test.ts
+++ b/packages/gateway/test/contracts/CatalogTask.test.ts
@@ -60,8 +60,8 @@
 const REPORT: gateway.contracts.StoreReport = { confirmedForMs: 0 };
 const SNAPSHOT = { revision: 5, changes: [CONFIGURATION, INSTANCE] };
 
-function buildWatcher(): TestCatalog {
-  const tested = new TestCatalog();
+function buildWatcher(timers = new core.time.VirtualTimerService(1_000)): TestCatalog {
+  const tested = new TestCatalog('at-once', timers);
   tested.task.post({ type: 'start' });
   tested.task.post({ type: 'role-chosen', role: 'watcher' });
   tested.task.post({ type: 'snapshot-read', snapshot: SNAPSHOT });
@@ -154,8 +154,11 @@
     vitest.expect(tested.countOutputs('watch-changes')).toBe(1);
   });
 
-  vitest.it('retains instances whose entries expired during an outage of the store until they have had time to republish them', () => {
-    const tested = buildWatcher();
+  vitest.it.each([
+    ['on time', new core.time.VirtualTimerService(1_000)],
+    ['early', new earlyTimerService.EarlyTimerService(1_000)],
+  ])('retains instances that are missing after an outage until they have had time to come back, with timers that fire %s', (_, timers) => {
+    const tested = buildWatcher(timers);
     tested.timers.advanceTo(4_000);
     tested.task.post({ type: 'read-failed', reason: 'timed-out', detail: '' });
     tested.timers.advanceTo(8_000);
@@ -166,7 +169,8 @@
     tested.timers.advanceTo(9_600);
     tested.task.post({ type: 'changes-read', changes: [{ type: 'instance-removed', id: 'i1', revision: 9 }], revision: 9 });
     vitest.expect(tested.listInstancesInUse()).toEqual(['i1']);
-    tested.timers.advanceTo(12_000);
+    // The last call that failed started at 8,300 ms at the latest, and the stable window has 3,000 ms.
+    tested.timers.advanceTo(11_300);
     vitest.expect(tested.listInstancesInUse()).toEqual([]);
   });
 
