--- a/packages/gateway/src/contracts/CatalogTask.ts
+++ b/packages/gateway/src/contracts/CatalogTask.ts
@@ -10,9 +10,7 @@
 import * as retainedInstances from './RetainedInstances.js';
 import * as storeContact from './StoreContact.js';
 import type * as storeOutage from './StoreOutage.js';
-
-// A follower reads the store itself if no VM has confirmed its catalog for this time, although watchers send heartbeats.
-const FOLLOWER_TIMEOUT_MS = 3_000;
+import * as watcherContact from './WatcherContact.js';
 
 // A starting seed, from which the others discover the fleet, or a starting VM that callers already use, waits for a catalog from other VMs
 // for this time before it reads the store itself: some round trips in a region. If all VMs were killed together, no other VM has a catalog,
@@ -40,9 +38,6 @@
 // long instances are retained depends on when they notice the end of the outage.
 const MAX_BACKOFF_MS = { watcher: 400, follower: 1_000 } as const;
 
-// A follower whose watchers have lost the store reads it itself for this time before it relies on them again.
-const DIRECT_READ_SPAN_MS = 6_000;
-
 // Timers may fire this much too early.
 const EARLY_TIMER_MS = 1;
 
@@ -74,6 +69,8 @@
 
   private readonly contact: storeContact.StoreContact;
 
+  private readonly watchers: watcherContact.WatcherContact;
+
   // A watcher reads the store itself; a follower fetches catalog updates from other VMs.
   private role: 'watcher' | 'follower' = 'follower';
 
@@ -91,14 +88,8 @@
   // State in the latest message to the request task.
   private announcedState: 'current' | 'stale' = 'stale';
 
-  // A follower reads the store itself until this time.
-  private directReadUntilMs = -Infinity;
-
   private startedAtMs = 0;
 
-  // Time of the latest heartbeat of a watcher of the place.
-  private watcherHeardAtMs = -Infinity;
-
   // Check of whether the watchers are silent.
   private silenceCheck: 'none' | 'scheduled' = 'none';
 
@@ -122,6 +113,7 @@
     super(options.scheduler);
     this.timing = new catalogTiming.CatalogTiming(options.bounds);
     this.contact = new storeContact.StoreContact(this.timing, options.random);
+    this.watchers = new watcherContact.WatcherContact(this.timing);
   }
 
   /** Describes the state of the catalog, for gauges. */
@@ -210,6 +202,7 @@
   private beginStart(): void {
     const { random, startReading } = this.options;
     this.startedAtMs = this.options.timers.getNowMs();
+    this.watchers.recordStart(this.startedAtMs);
     const timeoutMs = startReading === 'at-once' ? START_TIMEOUT_MS : START_PEER_TIMEOUT_MS + START_PEER_SPREAD_MS * random.drawFraction();
     this.awaitsPeersUntilMs = this.startedAtMs + timeoutMs;
     this.awaitsPlaceUntilMs = startReading === 'at-once' ? 0 : this.startedAtMs + OTHER_PLACE_SPREAD_MS * random.drawFraction();
@@ -232,21 +225,14 @@
 
   // Whether the VM can rely on others for changes of the catalog.
   private canFollow(nowMs: number): boolean {
-    if (this.contents === 'empty') return nowMs <= this.awaitsPeersUntilMs;
-    if (nowMs < this.directReadUntilMs || nowMs >= this.computeSilenceEndMs()) return false;
-    const isConfirmed = nowMs - Math.max(this.contact.getConfirmedAtMs(), this.startedAtMs) <= FOLLOWER_TIMEOUT_MS;
-    if (!isConfirmed) this.directReadUntilMs = nowMs + DIRECT_READ_SPAN_MS;
-    return isConfirmed;
-  }
-
-  // Time at which the watchers count as silent. A VM that has just started may not know them yet.
-  private computeSilenceEndMs(): number {
-    return Math.max(this.watcherHeardAtMs + this.timing.computeWatcherSilenceMs(), this.startedAtMs + FOLLOWER_TIMEOUT_MS);
+    return this.contents === 'empty'
+      ? nowMs <= this.awaitsPeersUntilMs
+      : this.watchers.decide(this.contact.getConfirmedAtMs(), nowMs) === 'follow';
   }
 
   private scheduleSilenceCheck(): void {
     const nowMs = this.options.timers.getNowMs();
-    const remainingMs = this.computeSilenceEndMs() - nowMs;
+    const remainingMs = this.watchers.computeSilenceEndMs() - nowMs;
     if (this.role === 'watcher' || this.silenceCheck === 'scheduled' || remainingMs <= 0) return;
     this.silenceCheck = 'scheduled';
     const delayMs = remainingMs + catalogTiming.SILENCE_SPREAD_MS * this.options.random.drawFraction();
@@ -289,7 +275,7 @@
     const nowMs = this.options.timers.getNowMs();
     this.applyReport(received.store, nowMs);
     if (received.role === 'watcher' && received.distance === 'same-place') {
-      this.watcherHeardAtMs = nowMs;
+      this.watchers.recordHeartbeat(nowMs);
       this.scheduleSilenceCheck();
     }
     if (this.contents === 'complete' && received.revision <= this.catalog.getRevision()) {
--- a/packages/gateway/src/contracts/index.ts
+++ b/packages/gateway/src/contracts/index.ts
@@ -11,3 +11,4 @@
 export * from './StoreContact.js';
 export type * from './StoreOutage.js';
 export * from './TrafficSplit.js';
+export * from './WatcherContact.js';
