--- a/packages/gateway/src/callers/RetryBudget.ts
+++ b/packages/gateway/src/callers/RetryBudget.ts
@@ -1,13 +1,9 @@
 import * as savedRetries from './SavedRetries.js';
-import * as slackRetries from './SlackRetries.js';
 import * as steadyRetries from './SteadyRetries.js';
 
 // Part of the ratio that `SteadyRetries` uses; `SavedRetries` has the rest.
 const STEADY_SHARE = 0.3;
 
-// Part of the slack that bounds what `SteadyRetries` can save up; `SlackRetries` has the rest.
-const STEADY_SLACK_SHARE = 0.5;
-
 /** Options of a `RetryBudget`. */
 export interface RetryBudgetOptions {
   /** Retries allowed for each request of a caller. */
@@ -32,13 +28,10 @@
 
   private readonly saved: savedRetries.SavedRetries;
 
-  private readonly slack: slackRetries.SlackRetries;
-
   /** @param options - Limits for this VM. */
   constructor(options: RetryBudgetOptions) {
     this.steady = new steadyRetries.SteadyRetries(RetryBudget.buildSteadyOptions(options));
     this.saved = new savedRetries.SavedRetries(RetryBudget.buildSavedOptions(options));
-    this.slack = new slackRetries.SlackRetries(RetryBudget.buildSlackOptions(options));
   }
 
   /**
@@ -48,7 +41,6 @@
   applyOptions(options: RetryBudgetOptions): void {
     this.steady.applyOptions(RetryBudget.buildSteadyOptions(options));
     this.saved.applyOptions(RetryBudget.buildSavedOptions(options));
-    this.slack.applyOptions(RetryBudget.buildSlackOptions(options));
   }
 
   /**
@@ -58,7 +50,6 @@
   addRequest(nowMs: number): void {
     this.steady.addRequest(nowMs);
     this.saved.addRequest(nowMs);
-    this.slack.addRequest(nowMs);
   }
 
   /**
@@ -68,16 +59,12 @@
    */
   take(nowMs: number, purpose: RetryPurpose = 'retry'): boolean {
     return purpose === 'retry'
-      ? this.steady.take() || this.saved.take(nowMs) || this.slack.take(nowMs)
-      : this.saved.take(nowMs) || this.steady.take() || this.slack.take(nowMs);
+      ? this.steady.take() || this.saved.take(nowMs)
+      : this.saved.take(nowMs) || this.steady.take();
   }
 
   private static buildSteadyOptions({ ratio, slack, windowMs }: RetryBudgetOptions): steadyRetries.SteadyRetriesOptions {
-    return { ratio: ratio * STEADY_SHARE, most: slack * STEADY_SLACK_SHARE, windowMs };
-  }
-
-  private static buildSlackOptions({ slack, windowMs }: RetryBudgetOptions): slackRetries.SlackRetriesOptions {
-    return { most: slack * (1 - STEADY_SLACK_SHARE), windowMs };
+    return { ratio: ratio * STEADY_SHARE, most: slack, windowMs };
   }
 
   private static buildSavedOptions({ ratio, windowMs }: RetryBudgetOptions): savedRetries.SavedRetriesOptions {
