Write no request whose time was over while the process was suspended

Cause: the time-out of an exchange is a timer. When a suspended process continues, it may learn that a connection is open before its timers fire, and undici then writes the request.

Change: the exchange compares the time when the request is about to be written. The same class serves the entry and the front process.

Test that failed before: RoutedConnections, 'does not write a request whose time is over when the connection opens' (answered, not unsent).

--- a/packages/entry/src/upstreams/Exchange.ts
+++ b/packages/entry/src/upstreams/Exchange.ts
@@ -50,6 +50,9 @@
 
   private interimResponses = 0;
 
+  // Time after which the request must not be written any more.
+  private expiresAtMs = Infinity;
+
   /** @param options - Request, connection pool, reader of the response and time-out. */
   constructor(private readonly options: ExchangeOptions) {}
 
@@ -61,6 +64,7 @@
       this.end('refused');
       return;
     }
+    this.expiresAtMs = options.timers.getNowMs() + Math.max(0, options.timeoutMs);
     this.timeoutSubscription = options.timers.subscribe({
       mailbox: options.owner, message: { type: 'exchange-overdue', exchangeId: options.exchangeId }, delayMs: Math.max(0, options.timeoutMs),
     });
@@ -134,6 +138,8 @@
   }
 
   private handleRequestStart(controller: undici.Dispatcher.DispatchController): void {
+    // A process that was suspended may learn that the connection is open before its timers fire.
+    if (this.controller === undefined && this.options.timers.getNowMs() > this.expiresAtMs) this.end('refused');
     // The exchange has already been reported as not sent, so the request must not be written.
     if (this.state === 'ended') {
       controller.abort(new undici.errors.RequestAbortedError());
--- a/packages/front/test/upstreams/RoutedConnections.test.ts
+++ b/packages/front/test/upstreams/RoutedConnections.test.ts
@@ -7,6 +7,7 @@
 import * as heapMeter from '../HeapMeter.js';
 import * as testUpstreamDialect from '../TestUpstreamDialect.js';
 import * as rawInstance from './RawInstance.js';
+import * as suspendedTimerService from './SuspendedTimerService.js';
 
 // Time for the client to read the first part of the response before the reset.
 const RESET_DELAY_MS = 50;
@@ -25,9 +26,12 @@
 
   private lastAttemptNumber = 0;
 
+  /** Clock, which runs ahead of the timers as in a process that was suspended. */
+  readonly timers = new suspendedTimerService.SuspendedTimerService();
+
   readonly connections = new front.upstreams.RoutedConnections({
     scheduler: new core.tasks.TaskScheduler(),
-    timers: new core.time.SystemTimerService(),
+    timers: this.timers,
     dialect: new testUpstreamDialect.TestUpstreamDialect(),
     answerBudget: new front.links.ByteBudget(BUFFER_BYTES),
     requestTask: {
@@ -167,6 +171,15 @@
     vitest.expect(await tested.sendAttempt(port, 'q2')).toEqual({ type: 'unsent' });
   });
 
+  // Guards against a request that starts past its deadline because the process was suspended while the connection was opened.
+  vitest.it('does not write a request whose time is over when the connection opens', async () => {
+    const port = await startInstance((socket) => socket.end(rawInstance.RawInstance.buildResponse('late', 'ok')));
+    const sent = tested.sendAttempt(port, 'late');
+    tested.timers.pause(60_000);
+    vitest.expect(await sent).toEqual({ type: 'unsent' });
+    vitest.expect(instance?.requests).toBe(0);
+  });
+
   vitest.it('does not send a request again when its connection breaks', async () => {
     const port = await startInstance((socket) => socket.destroy());
     vitest.expect(await tested.sendAttempt(port, 'q1')).toEqual({ type: 'reset' });
