--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+exec node "$(dirname "$0")/case.mjs"
