--- a/review/10/case.mjs
+++ b/review/10/case.mjs
@@ -1,4 +1,3 @@
-/* eslint-disable no-await-in-loop -- the steps of a case follow each other in time */
 import * as buffer from 'node:buffer';
 import process from 'node:process';
 import * as timers from 'node:timers/promises';
@@ -7,66 +6,95 @@
 import * as instanceStandin from '../harness-2/InstanceStandin.mjs';
 
 const TROUBLE = process.env.TROUBLE !== '0';
-const VMS = 5;
-// `config_apply` of the settings.
-const CONFIG_APPLY_MS = 2_000;
+// `drain` of the settings.
+const DRAIN_MS = 2_000;
+const WORK_MS = 290;
+const PERIOD_MS = 33;
+// The instance serves for `drain` and a little longer.
+const SERVES_MS = 3_500;
 const CUT_MS = 4_000;
-const OBSERVED_MS = 4_000;
-const PERIOD_MS = 50;
-const MAX_CUT_VMS = 2;
+const LEAVING = 'i-1';
 
-const deployment = new deploymentModule.Deployment({ caseFolder: import.meta.dirname, vmCount: VMS });
-const instances = ['old', 'new'].map((service) => new instanceStandin.InstanceStandin({
-  id: `i-${service}`, service, slots: 20, onRun: (request) => deployment.record(`${request.id} is run by service ${service}`),
-}));
-await Promise.all(instances.map((instance) => deployment.startInstance(instance)));
+const deployment = new deploymentModule.Deployment({ caseFolder: import.meta.dirname, vmCount: 2 });
+// Time at which each VM first passed on an answer with Server-Leaving.
+const toldAtMs = new Map();
+const requests = new Map();
+let state = 'serving';
 
-function publishRoute(version, service) {
-  deployment.publishConfiguration(version, { orders: { prefix: '/orders/', kind: 'unsafe', service } });
-  deployment.record(`the store has acknowledged version ${version}, which sends the orders to service ${service}`);
+function createInstance(id) {
+  const instance = new instanceStandin.InstanceStandin({
+    id,
+    service: 'orders',
+    onRequest: (request, socket, readNext) => {
+      instance.run(request);
+      const sent = requests.get(request.id);
+      sent.instance = id;
+      deployment.record(`${request.id} reaches ${id}, which runs it`);
+      globalThis.setTimeout(() => {
+        if (socket.destroyed) return;
+        instance.answer(request, socket, 'done', id === LEAVING && state === 'leaving' ? { 'Server-Leaving': '1' } : {});
+        readNext();
+      }, WORK_MS);
+      return true;
+    },
+  });
+  return instance;
 }
 
-publishRoute(1, 'old');
+const instances = ['i-1', 'i-2', 'i-3'].map((id) => createInstance(id));
+const leaving = instances[0];
+await Promise.all(instances.map((instance) => deployment.startInstance(instance)));
+deployment.publishConfiguration(1, { orders: { prefix: '/orders/', kind: 'unsafe', service: 'orders' } });
 await deployment.start();
-await timers.setTimeout(6_000);
 
-// The VMs that read the store, as the store sees them.
-deployment.store.calls.clear();
-await timers.setTimeout(4_000);
-const readers = [...deployment.store.calls.keys()];
-deployment.record(`VMs that read the store: ${readers.map((vm) => `vm-${vm}`).join(', ')}`);
-if (readers.length > MAX_CUT_VMS) deployment.exitUnable('more VMs read the store than are cut off');
-if (TROUBLE) {
-  readers.forEach((vm) => deployment.store.cutVms.add(vm));
-  deployment.record('these VMs are cut off from the store, and from nothing else');
-  globalThis.setTimeout(() => {
-    deployment.store.cutVms.clear();
-    deployment.record('they reach the store again');
-  }, CUT_MS);
+async function sendOrder(number) {
+  const vm = number % 2;
+  const id = `order-${number}`;
+  const sent = { vm, sentAtMs: deployment.getNowMs() };
+  requests.set(id, sent);
+  deployment.record(`${id} sent to vm-${vm}`);
+  const { status, headers, error } = await deployment.send({
+    vm, method: 'POST', path: '/orders/new', id, body: buffer.Buffer.from('an order'),
+  });
+  sent.status = status;
+  const isTold = headers?.['server-leaving'] === '1';
+  deployment.record(`${id} ${status === 0 ? error : `answered ${status}`}${isTold ? ' with Server-Leaving' : ''}`);
+  if (isTold && !toldAtMs.has(vm)) toldAtMs.set(vm, deployment.getNowMs());
 }
-await timers.setTimeout(100);
-publishRoute(2, 'new');
-const acknowledgedAtMs = deployment.getNowMs();
 
-// Only VMs that are not cut off get requests, so that all of them are in touch.
-const inTouch = deployment.hosts.map((_, vm) => vm).filter((vm) => !readers.includes(vm));
-const sentAtMs = new Map();
-const answers = [];
-for (let number = 0; deployment.getNowMs() - acknowledgedAtMs < OBSERVED_MS; number += 1) {
-  inTouch.forEach((vm) => {
-    const id = `order-${number}-vm-${vm}`;
-    sentAtMs.set(id, deployment.getNowMs());
-    deployment.record(`${id} sent`);
-    answers.push(deployment.send({
-      vm, method: 'POST', path: '/orders/new', id, body: buffer.Buffer.from('an order'),
-    }).then(({ status }) => deployment.record(`${id} answered ${status}`)));
-  });
-  await timers.setTimeout(PERIOD_MS);
+const orders = [];
+let number = 0;
+const load = globalThis.setInterval(() => {
+  number += 1;
+  orders.push(sendOrder(number));
+}, PERIOD_MS);
+await timers.setTimeout(4_000);
+if (TROUBLE) {
+  deployment.hosts.forEach((_, vm) => deployment.store.cutVms.add(vm));
+  deployment.record('the VMs are cut off from the store');
 }
-await Promise.all(answers);
+const cutAtMs = deployment.getNowMs();
+await timers.setTimeout(200);
+state = 'leaving';
+deployment.store.setItem(`servers/${LEAVING}`, leaving.buildEntry(2, 'draining'));
+deployment.record(`${LEAVING} reports draining, which the store accepts, and says Server-Leaving in all its answers from now on`);
+await timers.setTimeout(SERVES_MS);
+leaving.close();
+deployment.store.removeItem(`servers/${LEAVING}`);
+deployment.record(`${LEAVING} exits`);
+await timers.setTimeout(CUT_MS - (deployment.getNowMs() - cutAtMs));
+deployment.store.cutVms.clear();
+deployment.record('the VMs reach the store again');
+await timers.setTimeout(500);
+globalThis.clearInterval(load);
+await Promise.all(orders);
 
-const late = instances[0].runs.filter((id) => sentAtMs.get(id) - acknowledgedAtMs > CONFIG_APPLY_MS);
-const latestMs = Math.max(0, ...late.map((id) => sentAtMs.get(id) - acknowledgedAtMs));
-deployment.record(`${late.length} orders that were sent more than ${CONFIG_APPLY_MS} ms after the acknowledgement of version 2, to VMs in touch, `
-  + `were run by the old service; the latest was sent ${latestMs} ms after it`);
+const late = [...requests].filter(([, { vm, sentAtMs, instance }]) => (
+  instance === LEAVING && sentAtMs > (toldAtMs.get(vm) ?? Infinity) + DRAIN_MS
+));
+const lost = late.filter(([, { status }]) => status !== 200);
+deployment.record(`${late.length} requests that were sent more than ${DRAIN_MS} ms after their VM had passed on an answer with Server-Leaving reached ${LEAVING}: `
+  + `${late.map(([id]) => id).join(', ')}`);
+deployment.record(`${lost.length} of them were lost when it exited: ${lost.map(([id, { status }]) => `${id} (${status})`).join(', ')}`);
+if (toldAtMs.size === 0) deployment.exitUnable('no answer with Server-Leaving was passed on');
 deployment.finish(late.length > 0 ? 1 : 0);
