--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -7,80 +7,70 @@
 import * as instanceStandin from '../harness-2/InstanceStandin.mjs';
 
 const TROUBLE = process.env.TROUBLE !== '0';
-const DEADLINE_MS = 2_000;
-const ORDERS = 250;
-const PERIOD_MS = 40;
-// One instance of seven (share 0.14) fails every second request.
-const FAILING = 'i-1';
-const FAILING_EVERY = 2;
-const PROMISES = new Set([408, 421, 429, 503]);
+// `config_apply` of the settings.
+const CONFIG_APPLY_MS = 2_000;
+const ZONES = ['zone-a', 'zone-a', 'zone-a', 'zone-a', 'zone-b', 'zone-b', 'zone-b', 'zone-b'];
+const VERSIONS = 4;
+// Time between the entry of the other writer and the next version.
+const BEFORE_MS = 300;
+const VERSION_MS = 14_000;
+const OBSERVED_MS = 4_500;
+const PERIOD_MS = 50;
+// The value of the entry stays far below `value_bytes` (1,048,576).
+const NAME_LENGTH = 5_000;
 
-const deployment = new deploymentModule.Deployment({ caseFolder: import.meta.dirname, vmCount: 2 });
-// Attempts by order, and those that an instance ran.
-const runsByOrder = new Map();
-const ranAttempts = new Set();
-let failures = 0;
+const deployment = new deploymentModule.Deployment({ caseFolder: import.meta.dirname, vmCount: ZONES.length, zones: ZONES });
+const services = ['service-a', 'service-b'];
+const instances = services.map((service) => new instanceStandin.InstanceStandin({
+  id: `i-${service}`, service, slots: 40, onRun: (request) => deployment.record(`${request.id} is run by ${service}`),
+}));
+await Promise.all(instances.map((instance) => deployment.startInstance(instance)));
 
-function createInstance(id) {
-  const instance = new instanceStandin.InstanceStandin({
-    id,
-    service: 'orders',
-    workMs: 30,
-    onRequest: (request, socket, readNext) => {
-      const order = request.body.toString();
-      instance.run(request);
-      ranAttempts.add(request.id);
-      runsByOrder.set(order, [...runsByOrder.get(order) ?? [], `${request.id} at ${id}`]);
-      deployment.record(`${id} runs ${request.id} (${order})`);
-      globalThis.setTimeout(() => {
-        const isFailing = TROUBLE && id === FAILING && instance.runs.length % FAILING_EVERY === 0;
-        if (isFailing) {
-          failures += 1;
-          // A response of the instance itself. It has no X-Not-Executed, so it does not state that the request was not executed.
-          instance.write(socket, 503, { 'X-Attempt-Id': request.id, 'X-Response-Seal': `seal-${id}` }, 'the order is stored, its confirmation failed');
-        } else instance.answer(request, socket, 'done');
-        readNext();
-      }, 30);
-      return true;
-    },
-  });
-  return instance;
+function publishRoute(version) {
+  const service = services[version % 2];
+  deployment.publishConfiguration(version, { orders: { prefix: '/orders/', kind: 'unsafe', service } });
+  deployment.record(`the store has acknowledged version ${version}, which sends the orders to ${service}`);
+  return service;
 }
 
-const instances = Array.from({ length: 7 }, (_, index) => createInstance(`i-${index + 1}`));
-await Promise.all(instances.map((instance) => deployment.startInstance(instance)));
-deployment.publishConfiguration(1, { orders: { prefix: '/orders/', kind: 'unsafe', service: 'orders' } });
+publishRoute(1);
 await deployment.start();
-await timers.setTimeout(1_000);
+await timers.setTimeout(4_000);
+await timers.setTimeout(8_000);
 
-// As the pages say, a client retries an unsafe request only after a promise, on a new connection and with a new attempt id.
-async function sendOrder(number, attempt, untilMs) {
-  const id = `attempt-${number}-${attempt}`;
-  const vm = (number + attempt) % 2;
-  const { status, headers } = await deployment.send({
-    vm,
-    method: 'POST',
-    path: '/orders/new',
-    id,
-    deadlineMs: Math.round(untilMs - deployment.getNowMs()),
-    body: buffer.Buffer.from(`order-${number}`),
-  });
-  deployment.record(`${id} answered ${status} by vm-${vm}`);
-  const broken = PROMISES.has(status) && ranAttempts.has(id) ? [id] : [];
-  const remainingMs = untilMs - deployment.getNowMs();
-  if (!PROMISES.has(status) || attempt === 3 || remainingMs < 300) return broken;
-  await timers.setTimeout(Math.min(Number(headers['retry-after'] ?? 0) * 1_000, remainingMs / 3));
-  return [...broken, ...await sendOrder(number, attempt + 1, untilMs)];
+function writeOtherEntry(version) {
+  const entry = instances[0].buildEntry();
+  deployment.store.setItem(`servers/i-other-${version}`, { ...entry, info: { ...entry.info, service: 'x'.repeat(NAME_LENGTH) } });
+  deployment.record(`another writer has stored an entry whose service, of ${NAME_LENGTH} characters, is not named in the configuration`);
 }
 
-const orders = [];
-for (let number = 0; number < ORDERS; number += 1) {
-  orders.push(sendOrder(number, 1, deployment.getNowMs() + DEADLINE_MS));
-  await timers.setTimeout(PERIOD_MS);
+let late = [];
+const answers = [];
+for (let version = 2; version < 2 + VERSIONS; version += 1) {
+  if (TROUBLE) writeOtherEntry(version);
+  await timers.setTimeout(BEFORE_MS);
+  const service = publishRoute(version);
+  const acknowledgedAtMs = deployment.getNowMs();
+  const sentAtMs = new Map();
+  for (let number = 0; deployment.getNowMs() - acknowledgedAtMs < OBSERVED_MS; number += 1) {
+    deployment.hosts.forEach((_, vm) => {
+      const id = `order-${version}-${number}-vm-${vm}`;
+      sentAtMs.set(id, deployment.getNowMs());
+      answers.push(deployment.send({
+        vm, method: 'POST', path: '/orders/new', id, body: buffer.Buffer.from('an order'),
+      }).then(({ status }) => status === 200 || deployment.record(`${id} answered ${status}`)));
+    });
+    await timers.setTimeout(PERIOD_MS);
+  }
+  await Promise.all(answers);
+  const old = instances.find((instance) => instance.options.service !== service);
+  const found = old.runs.filter((id) => sentAtMs.get(id) - acknowledgedAtMs > CONFIG_APPLY_MS);
+  const vms = [...new Set(found.map((id) => id.split('-vm-')[1]))].map((vm) => `vm-${vm}`);
+  const latestMs = Math.max(0, ...found.map((id) => sentAtMs.get(id) - acknowledgedAtMs));
+  deployment.record(`version ${version}: ${found.length} orders that were sent more than ${CONFIG_APPLY_MS} ms after the acknowledgement were run by the old `
+    + `service, by ${vms.join(', ') || 'no VM'}; the latest was sent ${latestMs} ms after it`);
+  late = [...late, ...found];
+  await timers.setTimeout(VERSION_MS - (deployment.getNowMs() - acknowledgedAtMs));
 }
-const broken = (await Promise.all(orders)).flat();
-const doubled = [...runsByOrder].filter(([, runs]) => runs.length > 1);
-doubled.forEach(([order, runs]) => deployment.record(`${order} was run more than once: ${runs.join(', ')}`));
-deployment.record(`${failures} requests were run and answered 503 by their instance; ${broken.length} requests that had run were answered with a promise `
-  + `that they had not; ${doubled.length} orders were run more than once`);
-deployment.finish(broken.length > 0 ? 1 : 0);
+deployment.record(`${late.length} orders were run by an old service in all`);
+deployment.finish(late.length > 0 ? 1 : 0);
