Send nothing more to an instance that says it is leaving

Cause: the header was read nowhere, so that an instance left by the word of the store alone. Ruled out: a report that is heard late (the store cannot be reached at all, and with it in reach the VMs stop at once), and ways past the choice of an instance (a property test over requests, retries, hedges, waiting requests, catalogs and pauses finds none).

Change: an answer that echoes the id of its request and comes from the instance binds the VM, also if it is retried, refused, cancelled or breaks off after its head. The statement belongs to the process (id and start time) and holds whatever the store or another VM publishes, so that neither an older catalog nor a store that is out of reach undoes it; the next process under the id or at the address is free.

--- a/packages/front/src/metrics/ProcessMetrics.ts
+++ b/packages/front/src/metrics/ProcessMetrics.ts
@@ -61,6 +61,7 @@
     this.addGauge('place_demand_mbps', 'Largest recent traffic of the callers of the place', () => sources.membership.getDemand().linkMbps);
     this.addGauge('open_requests', 'Requests in progress', () => sources.requests.countRequests());
     this.addGauge('waiting_requests', 'Requests that wait for an instance', () => sources.requests.countWaiting());
+    this.addGauge('leaving_instances', 'Instances published as ready that have stated to this VM that they are leaving', () => sources.requests.countLeavingInstances());
     this.addGauge('limited_instances', 'Instances that state a limit', () => sources.requests.countLimitedInstances());
     this.addGauge('exceeded_quotas', 'Tenants that exceed their quotas at this VM', () => sources.requests.countExceededQuotas());
     this.addGauge('upstream_connections', 'Open connections to instances', sources.countConnections);
--- a/packages/front/src/upstreams/RoutedExchange.ts
+++ b/packages/front/src/upstreams/RoutedExchange.ts
@@ -74,11 +74,11 @@
       case 'refused':
         return { type: 'unsent' };
       case 'cancelled':
-        return { type: 'cancelled' };
+        return { type: 'cancelled', presence: this.routedOptions.reader.getLeaving() };
       case 'reset':
         return { type: 'reset' };
       default:
-        return { type: 'broken' };
+        return { type: 'broken', presence: this.routedOptions.reader.getLeaving() };
     }
   }
 }
--- a/packages/front/src/upstreams/RoutedResponseReader.ts
+++ b/packages/front/src/upstreams/RoutedResponseReader.ts
@@ -83,6 +83,15 @@
     return this.isUsable();
   }
 
+  /** Gets whether the instance states that it is leaving, in a head that certainly comes from it as its answer to the request. */
+  getLeaving(): 'leaving' | undefined {
+    const { metadata } = this;
+    if (metadata === undefined || metadata.echo === 'mismatched' || metadata.execution === 'misdirected') return undefined;
+    // A response without a seal may come from another process that has taken over the address of the instance.
+    const isOwn = metadata.execution === 'not-run' || metadata.seal === 'present';
+    return isOwn && metadata.statement.presence === 'leaving' ? 'leaving' : undefined;
+  }
+
   /** Builds the result of an attempt whose response is complete. */
   buildEnding(): gateway.upstreams.AttemptEnding {
     const { metadata } = this;
--- a/packages/front/test/TestUpstreamDialect.ts
+++ b/packages/front/test/TestUpstreamDialect.ts
@@ -12,7 +12,11 @@
       echo: headers.get('request-id') === callerRequestId ? 'matched' : 'mismatched',
       execution: TestUpstreamDialect.parseExecution(headers),
       seal: headers.has('seal') ? 'present' : 'absent',
-      statement: { ...gateway.upstreams.EMPTY_STATEMENT, limit: TestUpstreamDialect.parseLimit(headers.get('limit')) },
+      statement: {
+        load: undefined,
+        limit: TestUpstreamDialect.parseLimit(headers.get('limit')),
+        presence: headers.has('leaving') ? 'leaving' : 'staying',
+      },
     };
   }
 
--- a/packages/front/test/upstreams/RoutedConnections.test.ts
+++ b/packages/front/test/upstreams/RoutedConnections.test.ts
@@ -165,6 +165,21 @@
     vitest.expect(await sent).toEqual({ type: 'cancelled' });
   });
 
+  // Guards against missing the statement of an instance that exits while it answers, and against taking it from bytes of another process.
+  vitest.it.each([
+    ['a response that breaks off', 'request-id: q1\r\nseal: 1\r\nleaving: 1\r\ncontent-length: 9\r\n\r\npart', { type: 'broken', presence: 'leaving' }],
+    ['a refusal that breaks off', 'request-id: q1\r\nnot-run: 1\r\nleaving: 1\r\ncontent-length: 9\r\n\r\npart', { type: 'broken', presence: 'leaving' }],
+    ['a refusal', 'request-id: q1\r\nnot-run: 1\r\nleaving: 1\r\ncontent-length: 0\r\n\r\n', {
+      type: 'not-run', statement: { load: undefined, limit: { type: 'none' }, presence: 'leaving' },
+    }],
+    ['a response without a seal', 'request-id: q1\r\nleaving: 1\r\ncontent-length: 0\r\n\r\n', { type: 'broken' }],
+    ['a response to another request', 'request-id: other\r\nseal: 1\r\nleaving: 1\r\ncontent-length: 0\r\n\r\n', { type: 'broken' }],
+    ['a response of another instance', 'request-id: q1\r\nmisdirected: 1\r\nleaving: 1\r\ncontent-length: 0\r\n\r\n', { type: 'misdirected' }],
+  ])('reads from %s whether the instance is leaving', async (_, text, ending) => {
+    const port = await startInstance((socket) => socket.end(`HTTP/1.1 200 OK\r\n${text}`));
+    vitest.expect(await tested.sendAttempt(port, 'q1')).toEqual(ending);
+  });
+
   vitest.it('returns no response that is shorter than its Content-Length', async () => {
     const port = await startInstance((socket, id) => socket.end(`HTTP/1.1 200 OK\r\nrequest-id: ${id}\r\nseal: 1\r\ncontent-length: 9\r\n\r\npart`));
     vitest.expect(await tested.sendAttempt(port, 'q1')).toEqual({ type: 'broken' });
--- a/packages/gateway/src/callers/AttemptSender.ts
+++ b/packages/gateway/src/callers/AttemptSender.ts
@@ -119,7 +119,7 @@
     this.nextAttempt += 1;
     const attemptId = String(this.nextAttempt);
     request.attempts.push({
-      attemptId, instance: chosen, sentAtMs: nowMs, state: 'open',
+      attemptId, instance: chosen, record: chosen.getRecord(), sentAtMs: nowMs, state: 'open',
     });
     request.state = 'sent';
     this.open.set(attemptId, request);
--- a/packages/gateway/src/callers/RoutedRequest.ts
+++ b/packages/gateway/src/callers/RoutedRequest.ts
@@ -4,6 +4,7 @@
 import type * as tenant from '../contracts/Tenant.js';
 import type * as attemptEnding from '../upstreams/AttemptEnding.js';
 import type * as durationSamples from '../upstreams/DurationSamples.js';
+import type * as instanceRecord from '../upstreams/InstanceRecord.js';
 import type * as pooledInstance from '../upstreams/PooledInstance.js';
 import type * as requestArrival from './RequestArrival.js';
 import type * as scarceRetries from './ScarceRetries.js';
@@ -12,6 +13,8 @@
 export interface RoutedAttempt {
   readonly attemptId: string;
   readonly instance: pooledInstance.PooledInstance;
+  /** Published record of the instance when the attempt was sent. */
+  readonly record: instanceRecord.InstanceRecord;
   readonly sentAtMs: number;
   /** `open`: in flight. `unsent`: ended before any byte of the request was written, so the instance received nothing. */
   state: 'open' | 'ended' | 'unsent';
--- a/packages/gateway/src/callers/RoutedRequestTask.ts
+++ b/packages/gateway/src/callers/RoutedRequestTask.ts
@@ -130,6 +130,11 @@
     return this.services.listServices().reduce((sum, serviceEntry) => sum + serviceEntry.pool.countLimited(nowMs), 0);
   }
 
+  /** Counts the instances that are published as ready and have stated to this VM that they are leaving. */
+  countLeavingInstances(): number {
+    return this.services.listServices().reduce((sum, serviceEntry) => sum + serviceEntry.pool.countLeaving(), 0);
+  }
+
   /** Counts the tenants that exceed their quotas at this VM. */
   countExceededQuotas(): number {
     return this.quotas.countExceeded();
@@ -277,9 +282,11 @@
     attempt: routedRequest.RoutedAttempt,
     ending: attemptEnding.AttemptEnding,
   ): void {
-    const { attemptId, instance } = attempt;
+    const { attemptId, instance, record } = attempt;
+    const nowMs = this.options.timers.getNowMs();
     const previousPerSecond = instance.getLimit();
-    instance.endAttempt(attemptId, ending, this.options.timers.getNowMs());
+    instance.endAttempt(attemptId, ending, nowMs);
+    if (settlementPolicy.SettlementPolicy.isLeaving(ending)) this.services.recordLeaving(record, nowMs);
     this.statementLog.logLimit(instance, previousPerSecond, 'answer');
     this.quotas.recordEnding(request, attempt, ending);
     const limit = ending.type === 'answered' || ending.type === 'not-run' ? ending.statement.limit : undefined;
--- a/packages/gateway/src/callers/ServiceTable.ts
+++ b/packages/gateway/src/callers/ServiceTable.ts
@@ -3,6 +3,7 @@
 import type * as configuration from '../contracts/Configuration.js';
 import type * as instanceEvidence from '../upstreams/InstanceEvidence.js';
 import type * as instanceRecord from '../upstreams/InstanceRecord.js';
+import * as leavingInstances from '../upstreams/LeavingInstances.js';
 import type * as pooledInstance from '../upstreams/PooledInstance.js';
 import * as activeVms from '../vms/ActiveVms.js';
 import type * as retryBudget from './RetryBudget.js';
@@ -48,6 +49,8 @@
   // Evidence of other VMs that arrived before the first instances.
   private readonly early: EarlyNotice[] = [];
 
+  private readonly leaving = new leavingInstances.LeavingInstances();
+
   private budget: retryBudget.RetryBudgetOptions;
 
   private readonly activeVms: activeVms.ActiveVms;
@@ -70,7 +73,7 @@
     const { place, random, floorShare } = this.options;
     const created = new routedService.RoutedService({
       pool: {
-        service, place, random, floorShare, activeVms: this.activeVms,
+        service, place, random, floorShare, activeVms: this.activeVms, leaving: this.leaving,
       },
       budget: this.budget,
     });
@@ -114,6 +117,7 @@
       if (listed === undefined) byService.set(record.service, [record]);
       else listed.push(record);
     });
+    this.leaving.prune(records, nowMs);
     byService.forEach((_, service) => this.getService(service));
     this.entries.forEach((entry, service) => entry.pool.setInstances(byService.get(service) ?? [], nowMs));
     this.early.filter((notice) => nowMs - notice.atMs <= MAX_EARLY_AGE_MS)
@@ -121,6 +125,20 @@
     this.early.length = 0;
   }
 
+  /**
+   * Records that an instance has stated that it is leaving, so that it gets no new requests of this VM.
+   * @param record - Published record by which the request was sent.
+   * @param nowMs - Current time.
+   */
+  recordLeaving(record: instanceRecord.InstanceRecord, nowMs: number): void {
+    if (this.leaving.record(record, nowMs) === 'known') return;
+    // The instance may have been published under another service since.
+    this.entries.forEach(({ pool }) => {
+      if (pool.getInstance(record.id) !== undefined) pool.updateReady();
+    });
+    this.options.statementLog.logLeaving(record);
+  }
+
   /**
    * Applies evidence that another VM has sent.
    * @param from - Name of the other VM.
--- a/packages/gateway/src/callers/SettlementPolicy.ts
+++ b/packages/gateway/src/callers/SettlementPolicy.ts
@@ -41,6 +41,23 @@
     return !['answered', 'unsent', 'not-run', 'misdirected'].includes(ending.type);
   }
 
+  /**
+   * Whether the instance has stated in its answer that it is leaving, also if the answer goes to no caller.
+   * @param ending - How the attempt ended.
+   */
+  static isLeaving(ending: attemptEnding.AttemptEnding): boolean {
+    switch (ending.type) {
+      case 'answered':
+      case 'not-run':
+        return ending.statement.presence === 'leaving';
+      case 'broken':
+      case 'cancelled':
+        return ending.presence === 'leaving';
+      default:
+        return false;
+    }
+  }
+
   /**
    * Whether an ending is evidence of a failure of the instance, which the other VMs should know at once.
    * @param ending - How the attempt ended.
--- a/packages/gateway/src/callers/StatementLog.ts
+++ b/packages/gateway/src/callers/StatementLog.ts
@@ -1,5 +1,6 @@
 import type * as core from '@tamarackferry/core';
 
+import type * as instanceRecord from '../upstreams/InstanceRecord.js';
 import type * as pooledInstance from '../upstreams/PooledInstance.js';
 import type * as gatewayOutput from './GatewayOutput.js';
 
@@ -30,6 +31,14 @@
     });
   }
 
+  /**
+   * Logs that an instance has stated that it is leaving.
+   * @param record - Published record by which the request was sent.
+   */
+  logLeaving({ id, service, state }: instanceRecord.InstanceRecord): void {
+    this.outbox.post({ type: 'log', event: 'instance-leaving', fields: { instance: id, service, state } });
+  }
+
   /**
    * Logs a statement that is ignored, since it cannot be read.
    * @param instance - Instance.
--- a/packages/gateway/src/upstreams/AttemptEnding.ts
+++ b/packages/gateway/src/upstreams/AttemptEnding.ts
@@ -21,4 +21,6 @@
 export type AttemptEnding =
   | { readonly type: 'answered'; readonly answer: InstanceAnswer; readonly statement: instanceStatement.InstanceStatement }
   | { readonly type: 'not-run'; readonly statement: instanceStatement.InstanceStatement }
-  | { readonly type: 'misdirected' | 'unsent' | 'reset' | 'broken' | 'cancelled' };
+  | { readonly type: 'misdirected' | 'unsent' | 'reset' }
+  // `leaving` if the head of an answer to the request was received, in which the instance states this.
+  | { readonly type: 'broken' | 'cancelled'; readonly presence?: 'leaving' | undefined };
--- a/packages/gateway/src/upstreams/InstanceStatement.ts
+++ b/packages/gateway/src/upstreams/InstanceStatement.ts
@@ -20,7 +20,9 @@
   /** Load that it reports; undefined if it reports none. */
   readonly load: ReportedLoad | undefined;
   readonly limit: StatedLimit;
+  /** `leaving`: the process of the instance will exit and is to get no new requests. */
+  readonly presence: 'staying' | 'leaving';
 }
 
 /** Statement of an answer that says nothing about the instance. */
-export const EMPTY_STATEMENT: InstanceStatement = { load: undefined, limit: { type: 'none' } };
+export const EMPTY_STATEMENT: InstanceStatement = { load: undefined, limit: { type: 'none' }, presence: 'staying' };
--- a/packages/gateway/src/upstreams/ServicePool.ts
+++ b/packages/gateway/src/upstreams/ServicePool.ts
@@ -4,6 +4,7 @@
 import type * as route from '../contracts/Route.js';
 import * as exploringPlacement from './ExploringPlacement.js';
 import type * as instanceRecord from './InstanceRecord.js';
+import type * as leavingInstances from './LeavingInstances.js';
 import type * as placementPolicy from './PlacementPolicy.js';
 import * as pooledInstance from './PooledInstance.js';
 import * as provenPlacement from './ProvenPlacement.js';
@@ -53,6 +54,8 @@
   /** Smallest share of the sound instances that must be used while many requests are not served. */
   readonly floorShare: number;
   readonly activeVms: activeVms.ActiveVms;
+  /** Instances that get no new requests, whatever is published about them. */
+  readonly leaving: leavingInstances.LeavingInstances;
 }
 
 /** Which instances of a service the VMs use, as far as this VM knows. */
@@ -120,8 +123,14 @@
       if (existing === undefined) this.instances.set(record.id, new pooledInstance.PooledInstance(record, nowMs));
       else if (existing.getRecord() !== record) existing.update(record, nowMs);
     });
+    this.updateReady();
+  }
+
+  /** Determines again which instances accept new requests. */
+  updateReady(): void {
     this.limitSum = { ...this.limitSum, atMs: -Infinity };
-    this.ready = [...this.instances.values()].filter((instance) => instance.getRecord().state === 'ready');
+    this.ready = [...this.instances.values()]
+      .filter((instance) => instance.getRecord().state === 'ready' && !this.options.leaving.isLeaving(instance.getRecord()));
     this.slots = this.ready.reduce((sum, instance) => sum + instance.getRecord().slots, 0);
   }
 
@@ -140,6 +149,11 @@
     return this.slots - limited.slots + Math.min(limited.slots, (limited.perSecond * serviceMs) / 1_000);
   }
 
+  /** Counts the instances that are published as ready and have stated to this VM that they are leaving. */
+  countLeaving(): number {
+    return [...this.instances.values()].filter((instance) => this.options.leaving.isLeaving(instance.getRecord())).length;
+  }
+
   /**
    * Counts the instances that state a limit.
    * @param nowMs - Current time.
--- a/packages/gateway/src/upstreams/index.ts
+++ b/packages/gateway/src/upstreams/index.ts
@@ -6,6 +6,7 @@
 export * from './GrayFailureEstimator.js';
 export type * from './InstanceRecord.js';
 export * from './InstanceStatement.js';
+export * from './LeavingInstances.js';
 export * from './PlacementPolicy.js';
 export * from './PooledInstance.js';
 export * from './ProvenPlacement.js';
--- a/packages/gateway/test/SimulatedInstance.ts
+++ b/packages/gateway/test/SimulatedInstance.ts
@@ -128,6 +128,7 @@
     return {
       limit: limit === undefined ? { type: 'none' } : { type: 'stated', perSecond: limit },
       load: { running: this.running.size, waiting: this.waiting.length, slots: this.options.record.slots },
+      presence: 'staying',
     };
   }
 
--- a/packages/gateway/test/upstreams/ServicePool.test.ts
+++ b/packages/gateway/test/upstreams/ServicePool.test.ts
@@ -7,7 +7,12 @@
 
 function buildPool(records: readonly gateway.upstreams.InstanceRecord[]): gateway.upstreams.ServicePool {
   const pool = new gateway.upstreams.ServicePool({
-    service: 's1', place: 'p1', random: new core.randomness.SeededRandomSource(3), floorShare: 0.7, activeVms: new gateway.vms.ActiveVms('vm0'),
+    service: 's1',
+    place: 'p1',
+    random: new core.randomness.SeededRandomSource(3),
+    floorShare: 0.7,
+    activeVms: new gateway.vms.ActiveVms('vm0'),
+    leaving: new gateway.upstreams.LeavingInstances(),
   });
   pool.setInstances(records, 0);
   return pool;
