Close no connection whose request was passed on for an unfinished head

Cause: the parser does not report extensions, spaces and empty lines, and the estimate of a request took them for the unfinished head of the next one, for as long as the connection lived. Above the limit on such heads the connections were closed without a look at their requests, unlike for all other reasons to make room. Ruled out: the limit on connections (2,340, and busy ones are not chosen) and unread answers (a few bytes each).

Change: connections on which a request was passed on or is being answered are not closed to make room. An unfinished head that was read with the end of a request counts in the budget of requests before the request is passed on, which is refused with 503 if there is no room. Heads that grow behind requests in progress stop the reading of such connections instead. What follows a request was read with its end, so that misses of earlier requests do not add up.

--- a/packages/front/src/callers/ConnectionTable.ts
+++ b/packages/front/src/callers/ConnectionTable.ts
@@ -69,7 +69,7 @@
   beginRequest(socket: net.Socket): void {
     this.fresh.delete(socket);
     this.idle.delete(socket);
-    this.connections.get(socket)?.beginRequest();
+    this.connections.get(socket)?.beginRequest(socket.bytesRead);
   }
 
   /**
@@ -99,14 +99,36 @@
     return this.connections.size * MAX_HEAD_COST > this.limits.headBytes;
   }
 
-  /** Lists the connections to close so that the unfinished heads of the others stay within their limit, those with most bytes first. */
+  /**
+   * Estimates the memory that the unfinished head of the next request on a connection takes, in bytes.
+   * @param connection - Connection.
+   * @param readBytes - Number of bytes that were read from it.
+   */
+  static estimateHeadCost(connection: callerConnection.CallerConnection, readBytes: number): number {
+    return ConnectionTable.computeCost(connection.estimateNextHeadBytes(readBytes));
+  }
+
+  /**
+   * Lists the connections from which no more should be read until their requests are answered: they must not be closed, and the unfinished
+   * heads that were read since their latest request was complete exceed the limit. Empty while they do not.
+   */
+  listHeldBack(): net.Socket[] {
+    const busy = [...this.connections].filter(([, connection]) => !connection.isClosable());
+    const costs = busy.map(([socket, connection]) => ConnectionTable.computeCost(connection.estimateGrownHeadBytes(socket.bytesRead)));
+    return costs.reduce((sum, cost) => sum + cost, 0) > this.limits.headBytes ? busy.map(([socket]) => socket) : [];
+  }
+
+  /**
+   * Lists the connections to close so that the unfinished heads of the others stay within their limit, those with most bytes first. Those
+   * that must not be closed are left out.
+   */
   listExcessHeads(): net.Socket[] {
     const heads: { socket: net.Socket; cost: number }[] = [];
     let totalCost = 0;
     this.connections.forEach((connection, socket) => {
-      const bytes = connection.estimateNextHeadBytes(socket.bytesRead);
-      if (bytes <= 0) return;
-      const cost = Math.min(MAX_HEAD_COST, bytes * HEAD_COST_PER_BYTE);
+      if (!connection.isClosable()) return;
+      const cost = ConnectionTable.estimateHeadCost(connection, socket.bytesRead);
+      if (cost === 0) return;
       heads.push({ socket, cost });
       totalCost += cost;
     });
@@ -117,4 +139,8 @@
       return isExcess;
     }).map(({ socket }) => socket);
   }
+
+  private static computeCost(headBytes: number): number {
+    return Math.min(MAX_HEAD_COST, Math.max(0, headBytes) * HEAD_COST_PER_BYTE);
+  }
 }
--- a/packages/front/src/callers/FrontExchange.ts
+++ b/packages/front/src/callers/FrontExchange.ts
@@ -2,6 +2,7 @@
 
 import * as blockBuffer from '../links/BlockBuffer.js';
 import type * as byteBudget from '../links/ByteBudget.js';
+import type * as callerConnection from './CallerConnection.js';
 
 const NO_BODY_STATUSES = new Set([204, 304]);
 
@@ -67,13 +68,16 @@
     return REQUEST_COST + this.options.request.rawHeaders.length * COST_PER_FIELD_TEXT;
   }
 
-  /** Estimates the length of the complete request on the wire, in bytes. */
-  estimateWireBytes(): number {
+  /** Estimates the length of the request on the wire, as far as it was received. Chunk extensions are not known. */
+  estimateWireLength(): callerConnection.WireLength {
     const { request } = this.options;
-    const fieldBytes = request.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
+    const fieldBytes = [...request.rawHeaders, ...request.rawTrailers].reduce((sum, text) => sum + text.length + 2, 0);
     const frames = request.headers['transfer-encoding'] === undefined ? 0 : this.chunkCount + 1;
-    return HEAD_FRAME_BYTES + (request.method ?? '').length + (request.url ?? '').length + fieldBytes
-      + this.body.getLength() + frames * CHUNK_FRAME_BYTES;
+    const bodyBytes = this.body.getLength() + frames * CHUNK_FRAME_BYTES;
+    return {
+      bodyBytes,
+      totalBytes: HEAD_FRAME_BYTES + (request.method ?? '').length + (request.url ?? '').length + fieldBytes + bodyBytes,
+    };
   }
 
   /**
--- a/packages/front/src/callers/FrontListener.ts
+++ b/packages/front/src/callers/FrontListener.ts
@@ -12,6 +12,7 @@
 import * as connectionTable from './ConnectionTable.js';
 import * as frontExchange from './FrontExchange.js';
 import type * as frontMessage from './FrontMessage.js';
+import * as pausedSockets from './PausedSockets.js';
 import * as unwrittenResponses from './UnwrittenResponses.js';
 
 // Limits until the first configuration is received.
@@ -101,7 +102,7 @@
 
   private readingPausedAtMs: number | undefined;
 
-  private readonly pausedSockets = new Set<net.Socket>();
+  private readonly paused = new pausedSockets.PausedSockets();
 
   private headTimer: core.time.TimerSubscription | undefined;
 
@@ -174,7 +175,7 @@
         break;
       case 'head-check-due':
         this.headTimer = undefined;
-        this.connections.listExcessHeads().forEach((socket) => this.closeConnection(socket, 'heads'));
+        this.limitHeads();
         this.startHeadTimer();
         break;
       case 'unread-check-due':
@@ -241,7 +242,7 @@
     connection.maxFieldTexts = 2 * this.maxFields;
     socket.once('close', () => {
       this.connections.remove(socket);
-      this.pausedSockets.delete(socket);
+      this.paused.remove(socket);
       connection.receiving.forEach((exchange) => {
         this.receiving.delete(exchange);
         this.budget.release(exchange);
@@ -259,7 +260,6 @@
     this.startHeadTimer();
   }
 
-  // A connection with a request that was passed on is never closed here.
   private makeRoom(newest: net.Socket): void {
     if (!this.connections.isFull()) return;
     const leastUseful = this.connections.findLeastUseful(newest);
@@ -267,6 +267,16 @@
     else if (!this.budget.evictFirst()) this.closeConnection(newest, 'connections');
   }
 
+  // Heads behind a request in progress must not grow further. They are read on when the request is answered.
+  private limitHeads(): void {
+    this.connections.listExcessHeads().forEach((socket) => this.closeConnection(socket, 'heads'));
+    const heldBack = new Set(this.connections.listHeldBack());
+    this.paused.releaseAll('heads', heldBack);
+    heldBack.forEach((socket) => this.paused.add(socket, 'heads'));
+  }
+
+  // With `connections` and `heads`, only to be called for connections without a request that was passed on and is not answered yet: its
+  // answer would be lost.
   private closeConnection(socket: net.Socket, reason: 'connections' | 'heads' | 'unread'): void {
     this.options.onEvent('connection-closed', { reason, open: this.connections.countConnections() });
     // The socket reports its end later, and must not be chosen again until then.
@@ -312,6 +322,7 @@
     this.connections.beginRequest(request.socket);
     response.once('close', () => {
       this.connections.endRequest(request.socket);
+      if (connection.isClosable()) this.paused.release(request.socket, 'heads');
       this.startHeadTimer();
     });
     const invalidField = entry.links.RequestFields.describeInvalid(request.rawHeaders);
@@ -331,7 +342,8 @@
     request.on('end', () => {
       this.receiving.delete(exchange);
       connection.receiving.delete(exchange);
-      connection.recordParsed(exchange.estimateWireBytes(), request.socket.bytesRead);
+      connection.recordParsed(exchange.estimateWireLength(), request.socket.bytesRead);
+      if (exchange.isOpen()) this.countFollowingHead(exchange, connection);
       if (exchange.isOpen()) this.acceptRequest(exchange);
       else this.budget.release(exchange);
     });
@@ -348,7 +360,7 @@
     // Most chunks of a body in very small chunks fill a block that is counted already. A body that grows must not be taken for stalled.
     const nowMs = this.options.timers.getNowMs();
     if (exchange.needsCount(grownBytes, nowMs)) this.budget.add(exchange, grownBytes);
-    if (this.readingPausedAtMs !== undefined) this.pauseSocket(exchange.getRequest().socket);
+    if (this.readingPausedAtMs !== undefined) this.paused.add(exchange.getRequest().socket, 'collection');
     else if (this.collection.recordRead(chunk.length, this.countHeldBytes(), nowMs) === 'pause') this.pauseReading();
   }
 
@@ -358,15 +370,10 @@
 
   private pauseReading(): void {
     this.readingPausedAtMs = this.options.timers.getNowMs();
-    this.receiving.forEach((exchange) => this.pauseSocket(exchange.getRequest().socket));
+    this.receiving.forEach((exchange) => this.paused.add(exchange.getRequest().socket, 'collection'));
     this.startResumeTimer();
   }
 
-  private pauseSocket(socket: net.Socket): void {
-    this.pausedSockets.add(socket);
-    socket.pause();
-  }
-
   private resumeReading(): void {
     const pausedMs = this.options.timers.getNowMs() - (this.readingPausedAtMs ?? 0);
     if (pausedMs < MAX_PAUSE_MS && !this.collection.isCollected(this.countHeldBytes())) {
@@ -375,8 +382,7 @@
     }
     this.readingPausedAtMs = undefined;
     // Also those whose body is complete by now: the next request follows on the connection.
-    this.pausedSockets.forEach((socket) => socket.resume());
-    this.pausedSockets.clear();
+    this.paused.releaseAll('collection');
   }
 
   private startResumeTimer(): void {
@@ -401,6 +407,13 @@
     else this.budget.add(exchange, bytes);
   }
 
+  // The connection of a request that is passed on must not be closed for the unfinished head that was read with its end, so the memory of
+  // that head counts with the request. Without room for it, the request is refused here.
+  private countFollowingHead(exchange: frontExchange.FrontExchange, connection: callerConnection.CallerConnection): void {
+    const cost = connectionTable.ConnectionTable.estimateHeadCost(connection, exchange.getRequest().socket.bytesRead);
+    if (cost > 0) this.budget.add(exchange, cost);
+  }
+
   private endReceiving(exchange: frontExchange.FrontExchange): void {
     this.receiving.delete(exchange);
     this.connections.get(exchange.getRequest().socket)?.receiving.delete(exchange);
--- a/packages/front/src/callers/index.ts
+++ b/packages/front/src/callers/index.ts
@@ -7,4 +7,5 @@
 export * from './FrontExchange.js';
 export * from './FrontListener.js';
 export type * from './FrontMessage.js';
+export * from './PausedSockets.js';
 export * from './UnwrittenResponses.js';
