--- a/packages/front/src/links/ByteBudget.ts
+++ b/packages/front/src/links/ByteBudget.ts
@@ -6,8 +6,8 @@
 // Holders are kept by the binary order of magnitude of their bytes.
 const SIZE_CLASSES = 48;
 
-// Holders of 1 MiB and more are large.
-const LARGE_CLASS = 20;
+// Holders of 64 KiB and more are large: the runtime keeps their memory outside its heap, and frees it late.
+const LARGE_CLASS = 16;
 
 // Fewer large holders are no crowd: a few uploads at a time are usual.
 const MIN_CROWD = 4;
--- a/packages/front/test/links/ByteBudget.test.ts
+++ b/packages/front/test/links/ByteBudget.test.ts
@@ -57,6 +57,15 @@
     vitest.expect(holders.map((holder) => holder.state)).toEqual(['evicted', 'incomplete', 'incomplete', 'incomplete']);
   });
 
+  // Guards against a crowd of bodies that escapes the part for several large ones because each is a little shorter than the largest.
+  vitest.it.each([65_536, 250_000, 1_000_000, 16 * MIB])('lets a crowd of holders of %i bytes use only a part of the limit', (bytes) => {
+    const budget = createBudget(40 * bytes);
+    const holders = Array.from({ length: 30 }, () => new TestHolder());
+    holders.forEach((holder) => budget.add(holder, bytes));
+    vitest.expect(holders.filter((holder) => holder.state === 'incomplete')).toHaveLength(20);
+    vitest.expect(budget.getHeldBytes()).toBe(20 * bytes);
+  });
+
   // Guards against bodies that stop short of their end and keep out all longer ones that make progress.
   vitest.it('evicts a holder that has stalled before a larger one that grows', () => {
     const budget = createBudget(1_000);
