--- a/packages/front/src/callers/CallerConnection.ts
+++ b/packages/front/src/callers/CallerConnection.ts
@@ -1,6 +1,5 @@
 import type * as http from 'node:http';
 
-import * as chunkPace from './ChunkPace.js';
 import type * as frontExchange from './FrontExchange.js';
 
 const MAX_ESTIMATION_ERROR = 512;
@@ -18,8 +17,6 @@
   /** Ids of the requests that were passed on and have no response yet. */
   readonly requestIds = new Set<string>();
 
-  readonly pace = new chunkPace.ChunkPace();
-
   /** Requests whose bodies are being received. */
   readonly receiving = new Set<frontExchange.FrontExchange>();
 
--- a/packages/front/src/callers/FrontListener.ts
+++ b/packages/front/src/callers/FrontListener.ts
@@ -13,7 +13,6 @@
 import * as frontExchange from './FrontExchange.js';
 import type * as frontMessage from './FrontMessage.js';
 import * as pausedSockets from './PausedSockets.js';
-import * as readingTurns from './ReadingTurns.js';
 import * as unwrittenResponses from './UnwrittenResponses.js';
 
 // Limits until the first configuration is received.
@@ -42,9 +41,6 @@
 const PAUSE_CHECK_INTERVAL_MS = 10;
 const MAX_PAUSE_MS = 150;
 
-// Interval at which one of the requests with very short chunks is read. A read of 64 KiB costs up to about 30 ms then.
-const TURN_INTERVAL_MS = 40;
-
 // Part of the limit on bodies up to which requests without a body are taken.
 const MAX_BODILESS_SHARE = 1.1;
 
@@ -106,10 +102,6 @@
 
   private readingPausedAtMs: number | undefined;
 
-  private readonly turns = new readingTurns.ReadingTurns();
-
-  private turnTimer: core.time.TimerSubscription | undefined;
-
   private readonly paused = new pausedSockets.PausedSockets();
 
   private headTimer: core.time.TimerSubscription | undefined;
@@ -194,10 +186,6 @@
       case 'resume-check-due':
         this.resumeReading();
         break;
-      case 'turn-due':
-        this.turnTimer = undefined;
-        this.readNextTurn();
-        break;
       case 'close-listener':
         // Only stops listening. The method of the HTTP server also closes connections that it takes for idle, which includes those on which
         // an answer is still being written. Kept connections remain until the process ends.
@@ -257,7 +245,6 @@
       this.paused.remove(socket);
       connection.receiving.forEach((exchange) => {
         this.receiving.delete(exchange);
-        this.turns.remove(exchange.getRequest());
         this.budget.release(exchange);
       });
       // Node.js reports no end of a response that waits for an earlier one on the connection.
@@ -373,22 +360,10 @@
     // Most chunks of a body in very small chunks fill a block that is counted already. A body that grows must not be taken for stalled.
     const nowMs = this.options.timers.getNowMs();
     if (exchange.needsCount(grownBytes, nowMs)) this.budget.add(exchange, grownBytes);
-    const { socket } = exchange.getRequest();
-    if (this.connections.get(socket)?.pace.recordChunk(chunk.length, nowMs) === 'pause') this.waitForTurn(exchange);
-    if (this.readingPausedAtMs !== undefined) this.paused.add(socket, 'collection');
+    if (this.readingPausedAtMs !== undefined) this.paused.add(exchange.getRequest().socket, 'collection');
     else if (this.collection.recordRead(chunk.length, this.countHeldBytes(), nowMs) === 'pause') this.pauseReading();
   }
 
-  private waitForTurn(exchange: frontExchange.FrontExchange): void {
-    this.turns.add(exchange.getRequest());
-    this.turnTimer ??= this.options.timers.subscribe({ mailbox: this, message: { type: 'turn-due' as const }, delayMs: TURN_INTERVAL_MS });
-  }
-
-  private readNextTurn(): void {
-    if (!this.turns.readNext()) return;
-    this.turnTimer = this.options.timers.subscribe({ mailbox: this, message: { type: 'turn-due' as const }, delayMs: TURN_INTERVAL_MS });
-  }
-
   private countHeldBytes(): number {
     return this.budget.getHeldBytes() + this.options.answerBudget.getHeldBytes();
   }
@@ -441,7 +416,6 @@
 
   private endReceiving(exchange: frontExchange.FrontExchange): void {
     this.receiving.delete(exchange);
-    this.turns.remove(exchange.getRequest());
     this.connections.get(exchange.getRequest().socket)?.receiving.delete(exchange);
     this.budget.release(exchange);
   }
--- a/packages/front/src/callers/FrontMessage.ts
+++ b/packages/front/src/callers/FrontMessage.ts
@@ -15,6 +15,4 @@
   | { readonly type: 'unread-check-due' }
   // Timer: bodies may be read again.
   | { readonly type: 'resume-check-due' }
-  // Timer: the next connection with a body in very short chunks may be read again.
-  | { readonly type: 'turn-due' }
   | { readonly type: 'close-listener' };
--- a/packages/front/src/callers/index.ts
+++ b/packages/front/src/callers/index.ts
@@ -1,6 +1,5 @@
 export * from './CallerConnection.js';
 export * from './CallerDialect.js';
-export * from './ChunkPace.js';
 export * from './CollectionPause.js';
 export * from './ConnectionTable.js';
 export * from './DirectoryDialect.js';
@@ -9,5 +8,4 @@
 export * from './FrontListener.js';
 export type * from './FrontMessage.js';
 export * from './PausedSockets.js';
-export * from './ReadingTurns.js';
 export * from './UnwrittenResponses.js';
