--- a/packages/front/src/callers/CallerConnection.ts
+++ b/packages/front/src/callers/CallerConnection.ts
@@ -29,10 +29,10 @@
   // Requests whose response is not written yet.
   private openRequests = 0;
 
-  // Bytes of the connection that belong to requests which were read completely, as far as is known, and all bytes that had been read when
-  // the latest of them was complete.
+  // Bytes of the connection that belong to requests which were read completely, as far as is known.
   private parsedBytes = 0;
 
+  // All bytes that had been read when the latest request was complete.
   private completeAtBytes = 0;
 
   // Numbers of bytes that had been read at the latest event of a request, and at the one before it that saw fewer.
--- a/packages/front/src/links/CatalogUpdateSchema.ts
+++ b/packages/front/src/links/CatalogUpdateSchema.ts
@@ -65,7 +65,7 @@
   }),
 ]);
 
-/** Format of what is known of a change that cannot be read otherwise: the instance that it describes. */
+/** Format of the part of an instance's entry that must be readable for it to be taken as removed. */
 export const INSTANCE_REFERENCE_SCHEMA = zod.object({
   type: zod.literal('instance'), id: TEXT_SCHEMA, era: ERA_SCHEMA, revision: REVISION_SCHEMA,
 });
--- a/packages/gateway/src/upstreams/AttemptEnding.ts
+++ b/packages/gateway/src/upstreams/AttemptEnding.ts
@@ -17,6 +17,7 @@
  * - `reset`: the connection closed before the headers of an answer were received.
  * - `broken`: the answer was truncated or belongs to another request.
  * - `cancelled`: this VM cancelled the attempt.
+ * Answers that are not passed on may still state that the instance is leaving.
  */
 export type AttemptEnding =
   | { readonly type: 'answered'; readonly answer: InstanceAnswer; readonly statement: instanceStatement.InstanceStatement }
--- a/packages/gateway/src/upstreams/ServicePool.ts
+++ b/packages/gateway/src/upstreams/ServicePool.ts
@@ -151,7 +151,8 @@
 
   /** Counts the instances that are published as ready and have stated to this VM that they are leaving. */
   countLeaving(): number {
-    return [...this.instances.values()].filter((instance) => this.options.leaving.isLeaving(instance.getRecord())).length;
+    return [...this.instances.values()].map((instance) => instance.getRecord())
+      .filter((record) => record.state === 'ready' && this.options.leaving.isLeaving(record)).length;
   }
 
   /**
