--- a/review/harness-3/Fleet.mjs
+++ b/review/harness-3/Fleet.mjs
@@ -14,6 +14,7 @@
 };
 const RANGE_OFFSET = 4;
 const RANGE_PORTS = 16;
+const METRICS_PORT = 9_464;
 const START_TIMEOUT_MS = 15_000;
 
 // The command of the deploy file, with the path of the settings in the environment.
@@ -35,13 +36,19 @@
 
   /** Chooses addresses and ports that are free, and starts all processes. */
   async start() {
-    const block = 16 + (process.pid % 200);
-    this.hosts = Array.from({ length: this.options.count }, (_, index) => `127.${block}.7.${index + 10}`);
+    this.hosts = await this.findHosts(16 + (process.pid % 200));
     this.basePort = await this.findPorts(20_000 + (process.pid % 500) * 40);
     this.hosts.forEach((_, index) => this.startProcess(index));
     await Promise.all(this.hosts.map((_, index) => this.waitUntilReady(index)));
   }
 
+  // The deploy file gives all processes the same port for metrics.
+  async findHosts(block) {
+    const hosts = Array.from({ length: this.options.count }, (_, index) => `127.${block % 240}.7.${index + 10}`);
+    const free = await Promise.all(hosts.map((host) => isFree(host, METRICS_PORT)));
+    return free.every((one) => one) ? hosts : this.findHosts(block + 1);
+  }
+
   async findPorts(candidate) {
     const ports = [...Object.values(OFFSETS), RANGE_OFFSET].map((offset) => candidate + offset);
     const free = await Promise.all(this.hosts.flatMap((host) => ports.map((port) => isFree(host, port))));
