--- a/review/harness-3/Fleet.mjs
+++ b/review/harness-3/Fleet.mjs
@@ -60,10 +60,11 @@
     const file = path.join(this.folder, `node-${index}.toml`);
     fs.writeFileSync(file, this.buildSettings(index));
     const [program, ...words] = readCommand();
+    const output = fs.openSync(path.join(this.folder, `front-${index}.log`), 'a');
     const child = childProcess.spawn(program, words, {
       cwd: ROOT,
       env: { PATH: process.env.PATH, HOME: process.env.HOME, TAMARACKFERRY_NODE_FILE: file },
-      stdio: ['ignore', fs.openSync(path.join(this.folder, `front-${index}.log`), 'a'), 'inherit'],
+      stdio: ['ignore', output, output],
     });
     const started = {
       child,
