--- a/review/harness-3/publish.mjs
+++ b/review/harness-3/publish.mjs
@@ -9,7 +9,7 @@
 });
 
 /** Writes a configuration of the operator. */
-export const publishConfiguration = (store, version, routes, services, limits = {}, tenants = undefined) => store.write('op/config', {
+export const publishConfiguration = (store, version, routes, services, limits = {}) => store.write('op/config', {
   version,
   routes: Object.fromEntries(Object.entries(routes).map(([name, route]) => [name, {
     name, host: 'osr.example', timeout: '8s', target_latency: '1s', priority: 1, max_attempts: 2, ...route,
@@ -18,5 +18,4 @@
   limits: {
     max_header_bytes: 16_384, max_body_bytes: 67_108_864, header_timeout: '3s', idle_timeout: '15s', ...limits,
   },
-  ...tenants === undefined ? {} : { tenants },
 });
