--- a/review/harness-3/Fleet.mjs
+++ b/review/harness-3/Fleet.mjs
@@ -79,7 +79,7 @@
 
   buildSettings(index) {
     const {
-      store, memoryMb, grace = '6s', contracts = [], zones = ['osr-a', 'osr-b', 'osr-c'],
+      store, memoryMb, linkMbps = 1_000, grace = '6s', contracts = [], zones = ['osr-a', 'osr-b', 'osr-c'],
     } = this.options;
     const host = this.hosts[index];
     const address = (name, at = host) => `${at}:${this.basePort + OFFSETS[name]}`;
@@ -98,7 +98,7 @@
       `bounds = ${JSON.stringify(bounds)}`,
       '[zones]', ...zones.map((zone) => `${zone} = "osrednja"`),
       '[listen]', ...Object.keys(OFFSETS).map((name) => `${name} = "${address(name)}"`),
-      '[limits]', 'cpu_share = 0.54', 'cores = 1', `memory_mb = ${memoryMb ?? 350}`, 'max_fds = 4100', 'link_mbps = 1000.0', 'disk_mb = 0',
+      '[limits]', 'cpu_share = 0.54', 'cores = 1', `memory_mb = ${memoryMb ?? 350}`, 'max_fds = 4100', `link_mbps = ${linkMbps.toFixed(1)}`, 'disk_mb = 0',
       '[fault_tolerance]', 'machines = 1', 'zones = 0', 'regions = 0',
       '[platform]', `address = "${store}"`, 'form = "read"', 'writes_per_s = 400', 'reads_per_s = 2000', 'history = "20s"', 'value_bytes = 1048576',
       'ttl_min = "1000ms"',
